--- /dev/null
+++ b/kind/kind.go
@@ -0,0 +1,43 @@
+// Package kind holds the closed list of error kinds, the run states, and the
+// table that maps each kind to the answer a caller gets.
+package kind
+
+// Kind names one reason why the system itself answered a request.
+type Kind string
+
+// The closed list of kinds. Table has one row for each.
+const (
+	Malformed          Kind = "malformed"
+	UnknownService     Kind = "unknown-service"
+	KeyRequired        Kind = "key-required"
+	KeyMalformed       Kind = "key-malformed"
+	KeyReused          Kind = "key-reused"
+	KeyExpired         Kind = "key-expired"
+	Loop               Kind = "loop"
+	TooDeep            Kind = "too-deep"
+	TooLarge           Kind = "too-large"
+	Shed               Kind = "shed"
+	ShedEarly          Kind = "shed-early"
+	QueueTimeout       Kind = "queue-timeout"
+	DeadlineExpired    Kind = "deadline-expired"
+	NoTarget           Kind = "no-target"
+	Draining           Kind = "draining"
+	Starting           Kind = "starting"
+	DialFailed         Kind = "dial-failed"
+	AllowanceExhausted Kind = "allowance-exhausted"
+	ClaimUnavailable   Kind = "claim-unavailable"
+	ClaimLost          Kind = "claim-lost"
+	AlreadyRan         Kind = "already-ran"
+	Quarantined        Kind = "quarantined"
+	TargetCrashed      Kind = "target-crashed"
+	AnswerTruncated    Kind = "answer-truncated"
+	AnswerTooLarge     Kind = "answer-too-large"
+	AnswerMismatched   Kind = "answer-mismatched"
+	AnswerLate         Kind = "answer-late"
+	PeerLost           Kind = "peer-lost"
+	Canceled           Kind = "canceled"
+	Internal           Kind = "internal"
+	ConfigRejected     Kind = "config-rejected"
+	SettingsInvalid    Kind = "settings-invalid"
+	LogUnavailable     Kind = "log-unavailable"
+)
--- /dev/null
+++ b/policy/service_name.go
@@ -0,0 +1,42 @@
+// Package policy holds what operators publish about a service: its classes,
+// limits and time bounds. It checks policies and classifies requests.
+package policy
+
+import (
+	"regexp"
+	"strings"
+
+	"github.com/goldcrestsail/goldcrestsail/kind"
+)
+
+// ServiceName identifies a service of a customer.
+type ServiceName struct {
+	Customer string `json:"customer"`
+	Service  string `json:"service"`
+}
+
+// maxNameBytes is the length of a DNS label, since names appear in Host.
+const maxNameBytes = 63
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
+
+// String returns SERVICE.CUSTOMER, the form used in the Host header.
+func (n ServiceName) String() string { return n.Service + "." + n.Customer }
+
+// ParseServiceName parses SERVICE.CUSTOMER, with or without a port. The error
+// has kind malformed.
+func ParseServiceName(host string) (ServiceName, error) {
+	host, _, _ = strings.Cut(host, ":")
+	service, customer, ok := strings.Cut(host, ".")
+	n := ServiceName{Customer: customer, Service: service}
+	if !ok || !ValidName(service) || !ValidName(customer) {
+		return ServiceName{}, &kind.Error{Kind: kind.Malformed, Run: kind.NotRun, Fields: []kind.FieldError{
+			{Field: "Host", Value: host, Allowed: "SERVICE.CUSTOMER in lower-case letters, digits and hyphens"}}}
+	}
+	return n, nil
+}
+
+// ValidName reports whether s can name a customer or a service.
+func ValidName(s string) bool {
+	return len(s) <= maxNameBytes && namePattern.MatchString(s)
+}
