--- /dev/null
+++ b/internal/standin/target/announce.go
@@ -0,0 +1,55 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// announceInterval is below the time after which a node takes a silent target
+// for down.
+const announceInterval = 500 * time.Millisecond
+
+type announcement struct {
+	Customer string `json:"customer"`
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	Slots    int    `json:"slots"`
+	Capacity int    `json:"capacity"`
+	State    string `json:"state"`
+}
+
+func (t *Target) announceLoop(ctx context.Context) {
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		t.announceOnce(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (t *Target) announceOnce(ctx context.Context) {
+	state := "ready"
+	if t.draining.Load() {
+		state = "draining"
+	}
+	body, err := json.Marshal(announcement{t.config.Customer, t.config.Service, t.Address(), t.config.Slots, t.config.Slots, state})
+	if err != nil {
+		return
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.config.Node+"/announce", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	request.Header.Set("Content-Type", "application/json")
+	// A failed announcement is repeated at the next interval.
+	if response, err := http.DefaultClient.Do(request); err == nil {
+		response.Body.Close()
+	}
+}
--- /dev/null
+++ b/node/request.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/goldcrestsail/goldcrestsail/chainhttp"
+	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/peerrpc"
+	"github.com/goldcrestsail/goldcrestsail/policy"
+	"github.com/goldcrestsail/goldcrestsail/retry"
+)
+
+// request is a checked request on its way through an entry node.
+type request struct {
+	id          string
+	name        policy.ServiceName
+	policy      *policy.Policy
+	class       *policy.Class
+	importance  int
+	method      string
+	path        string
+	headers     []*peerrpc.Header
+	body        []byte
+	key         string
+	fingerprint uint64
+	deadline    time.Time
+	chainID     string
+	depth       int
+	services    []string
+	allowance   retry.Allowance
+	// fresh marks a client's request, as opposed to a sub-call of a chain.
+	fresh bool
+}
+
+// hopHeaders are meaningful for one connection only, or are set anew by the
+// node that sends a request to a target.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true, chainhttp.HeaderTimeout: true, chainhttp.HeaderKey: true,
+	chainhttp.HeaderRequestID: true, chainhttp.HeaderTraceParent: true, chainhttp.HeaderTraceState: true,
+}
+
+// responseHopHeaders are not copied from a target's answer.
+var responseHopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true, chainhttp.HeaderRequestID: true, chainhttp.HeaderKind: true,
+	chainhttp.HeaderRunState: true, chainhttp.HeaderReplayed: true,
+}
+
+func malformed(field, value, allowed string) *kind.Error {
+	return &kind.Error{Kind: kind.Malformed, Run: kind.NotRun, Fields: []kind.FieldError{{Field: field, Value: value, Allowed: allowed}}}
+}
+
+// parseRequest checks the parts of r that every caller sends. It reads the
+// body up to the policy's bound.
+func (n *Node) parseRequest(r *http.Request, now time.Time) (*request, *kind.Error) {
+	q := &request{id: uuid.NewString(), method: r.Method, path: r.URL.RequestURI()}
+	name, err := policy.ParseServiceName(r.Host)
+	if err != nil {
+		return q, kind.Of(err)
+	}
+	q.name = name
+	if q.policy = n.policyOf(name); q.policy == nil {
+		return q, kind.Newf(kind.UnknownService, "no policy for %s", name)
+	}
+	if !strings.HasPrefix(q.path, "/") {
+		return q, malformed("path", q.path, "an absolute path")
+	}
+	if q.class = q.policy.Classify(r.Method, r.URL.Path); q.class == nil {
+		return q, malformed("path", r.Method+" "+r.URL.Path, "a request that a class of the policy matches")
+	}
+	q.importance = q.class.Importance
+	if q.deadline, err = parseDeadline(r, q.class, now); err != nil {
+		return q, kind.Of(err)
+	}
+	q.key = r.Header.Get(chainhttp.HeaderKey)
+	if q.class.NonIdempotent && q.key == "" {
+		return q, kind.Newf(kind.KeyRequired, "class %s needs an %s header", q.class.Name, chainhttp.HeaderKey)
+	}
+	if failure := q.readBody(r); failure != nil {
+		return q, failure
+	}
+	q.headers = copyHeaders(r.Header, hopHeaders)
+	q.fingerprint = q.hash()
+	return q, nil
+}
+
+func parseDeadline(r *http.Request, class *policy.Class, now time.Time) (time.Time, error) {
+	timeout := class.Timeout
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	if value := r.Header.Get(chainhttp.HeaderTimeout); value != "" {
+		given, ok := chainhttp.ParseTimeout(value)
+		if !ok {
+			return time.Time{}, malformed(chainhttp.HeaderTimeout, value, "milliseconds from 1 to 600000")
+		}
+		timeout = given
+	}
+	return now.Add(timeout), nil
+}
+
+func (q *request) readBody(r *http.Request) *kind.Error {
+	limit := q.policy.MaxRequestBytes
+	if r.ContentLength > limit {
+		return kind.Newf(kind.TooLarge, "body of %d bytes, want at most %d", r.ContentLength, limit)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return malformed("body", err.Error(), "a complete body")
+	}
+	if int64(len(body)) > limit {
+		return kind.Newf(kind.TooLarge, "body above %d bytes", limit)
+	}
+	q.body = body
+	return nil
+}
+
+// hash identifies the request by service, method, path and body, not by its
+// key, so that a resend under a new key has the same fingerprint.
+func (q *request) hash() uint64 {
+	d := xxhash.New()
+	for _, part := range []string{q.name.Customer, q.name.Service, q.method, q.path} {
+		d.WriteString(part)
+		d.Write([]byte{0})
+	}
+	d.Write(q.body)
+	return d.Sum64()
+}
+
+func copyHeaders(from http.Header, skip map[string]bool) []*peerrpc.Header {
+	var headers []*peerrpc.Header
+	for name, values := range from {
+		if skip[name] {
+			continue
+		}
+		for _, v := range values {
+			headers = append(headers, &peerrpc.Header{Name: name, Value: v})
+		}
+	}
+	return headers
+}
