--- /dev/null
+++ b/routing/pick_input.go
@@ -0,0 +1,22 @@
+package routing
+
+// PickInput is what Pick needs to know about one call.
+type PickInput struct {
+	// Exclude lists the targets already tried for this request.
+	Exclude []TargetID
+	// FailureDomain is the failure domain of the calling node; its targets are
+	// preferred while load allows. Empty means no preference.
+	FailureDomain string
+	// Pinned names the only target that may run the request, such as the issuer
+	// of its key. An ejection does not apply to it.
+	Pinned TargetID
+	// Designated selects the same target on every node by rendezvous hash, such
+	// as the fingerprint of a suspect request. 0 means not designated. An
+	// ejection, which is a local view, does not apply.
+	Designated uint64
+	// Subset is the number of targets to choose from; 0 means DefaultSubset.
+	Subset int
+	// MayProbe allows the call to probe an ejected target. The caller sets it
+	// only for retryable requests that have retry allowance left.
+	MayProbe bool
+}
--- /dev/null
+++ b/routing/result.go
@@ -0,0 +1,23 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/kind"
+)
+
+// Result is the outcome of one call, as the calling node saw it.
+type Result struct {
+	// Latency is the time from Start to the response. Only the latency of
+	// responses of the target itself enters the average.
+	Latency time.Duration
+	// Load is the load reported with the response, or nil when no response
+	// arrived.
+	Load *Load
+	// Kind is empty when the target itself answered, otherwise the reason why
+	// it did not.
+	Kind kind.Kind
+	// Status is the HTTP status of the target's own response. Statuses from 500
+	// count as failures of the target.
+	Status int
+}
