Choose targets by load, failure domain and health

Power of two choices over own calls, reported load and latency. A reported load loses weight to the mean of all targets with age, so that a stale report makes no target look idle for long. Subsets follow rendezvous order and are refilled; failing and silent targets are ejected, at most half of the ready ones, and probed with exponential back-off.

--- /dev/null
+++ b/routing/cost.go
@@ -0,0 +1,99 @@
+package routing
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// idleCost is the cost of an idle target. It keeps the ratio of two costs
+	// finite, so that one call in flight does not drive work out of the node's
+	// failure domain.
+	idleCost = 0.25
+	// latencyWeight is the weight of a new sample in the moving average.
+	latencyWeight = 0.1
+	// latencyHalfLife is the age at which a latency counts half.
+	latencyHalfLife = 2 * time.Second
+	// maxLatencyFactor bounds the influence of latency, so that a target with
+	// one slow response still gets the calls that correct its average.
+	maxLatencyFactor = 4
+	// refusalHalfLife is about the time in which a queue of one queue timeout
+	// drains.
+	refusalHalfLife = 200 * time.Millisecond
+	// maxRefusals bounds the count, so that it is forgotten within a second.
+	maxRefusals = 8
+	// meanWeight is the weight of one report in the averages over all targets.
+	meanWeight = 0.05
+)
+
+// cost compares targets; lower is better. It is the expected utilization times
+// a factor for latency and a factor for recent refusals.
+func (t *Table) cost(g *target, now time.Time) float64 {
+	return (idleCost + t.utilization(g, now)) * t.latencyFactor(g, now) * (1 + g.refusalsAt(now))
+}
+
+// utilization estimates the calls at a target over its limit. A reported load
+// loses its weight to the mean over all targets with age: with age it says
+// less about this target, but a stale report must not make it look idle.
+func (t *Table) utilization(g *target, now time.Time) float64 {
+	others := t.meanOthers
+	if !g.loadAt.IsZero() {
+		w := halved(1, now.Sub(g.loadAt), t.options.LoadHalfLife)
+		others = w*g.othersAtLoad() + (1-w)*t.meanOthers
+	}
+	return float64(g.own)/g.limit() + others
+}
+
+// othersAtLoad is the utilization by other nodes in the last report.
+func (g *target) othersAtLoad() float64 {
+	return float64(max(0, g.load.InFlight+g.load.Waiting-g.ownAtLoad)) / g.limit()
+}
+
+func (t *Table) latencyFactor(g *target, now time.Time) float64 {
+	if g.latency == 0 || t.meanLatency == 0 {
+		return 1
+	}
+	ratio := min(max(g.latency/t.meanLatency, 1.0/maxLatencyFactor), maxLatencyFactor)
+	return math.Pow(ratio, halved(1, now.Sub(g.latencyAt), latencyHalfLife))
+}
+
+func (g *target) refusalsAt(now time.Time) float64 {
+	if g.refusals == 0 {
+		return 0
+	}
+	return halved(g.refusals, now.Sub(g.refusedAt), refusalHalfLife)
+}
+
+func (t *Table) learnLoad(g *target, now time.Time, load Load) {
+	g.load, g.loadAt, g.ownAtLoad = load, now, g.own
+	t.meanOthers += meanWeight * (g.othersAtLoad() - t.meanOthers)
+}
+
+func (t *Table) learnLatency(g *target, now time.Time, latency time.Duration) {
+	s := latency.Seconds()
+	if s <= 0 {
+		return
+	}
+	if g.latency == 0 {
+		g.latency = s
+	}
+	g.latency += latencyWeight * (s - g.latency)
+	g.latencyAt = now
+	if t.meanLatency == 0 {
+		t.meanLatency = s
+	}
+	t.meanLatency += meanWeight * (s - t.meanLatency)
+}
+
+func (g *target) learnRefusal(now time.Time) {
+	g.refusals = min(g.refusalsAt(now)+1, maxRefusals)
+	g.refusedAt = now
+}
+
+// halved returns v halved once per halfLife of age.
+func halved(v float64, age, halfLife time.Duration) float64 {
+	if age <= 0 {
+		return v
+	}
+	return v * math.Exp2(-float64(age)/float64(halfLife))
+}
--- /dev/null
+++ b/routing/table_test.go
@@ -0,0 +1,327 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestsail/goldcrestsail/kind"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func id(i int) TargetID { return TargetID(fmt.Sprintf("t%d", i)) }
+
+func filled(node string, n, domains int) *Table {
+	t := NewTable(Options{Node: node})
+	for i := range n {
+		t.Update(epoch, Member{ID: id(i), FailureDomain: fmt.Sprintf("d%d", i%domains), State: Ready, Slots: 10})
+	}
+	return t
+}
+
+func subsetOf(t *Table, now time.Time, domain string, size int) []TargetID {
+	t.refreshSubset(now, domain, size)
+	ids := []TargetID{}
+	for _, g := range slices.Concat(t.local, t.remote) {
+		ids = append(ids, g.member.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func call(t *Table, now time.Time, id TargetID, r Result) {
+	t.Start(now, id)
+	t.Done(now, id, r)
+}
+
+// Guards against new work for a target that is not ready, was tried already or
+// is ejected, and against ejecting more than half of the ready targets, under
+// any sequence of events.
+func TestPickKeepsItsRulesUnderAnyEvents(t *testing.T) {
+	kinds := []kind.Kind{"", "", kind.Shed, kind.DialFailed, kind.PeerLost, kind.Draining, kind.Starting, kind.Canceled}
+	rapid.Check(t, func(rt *rapid.T) {
+		table, now, rng := filled("n", rapid.IntRange(1, 9).Draw(rt, "targets"), 2), epoch, newRand()
+		for range rapid.IntRange(1, 120).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(rt, "ms")) * time.Millisecond)
+			some := id(rapid.IntRange(0, 9).Draw(rt, "id"))
+			switch rapid.IntRange(0, 9).Draw(rt, "op") {
+			case 0:
+				table.Update(now, Member{ID: some, FailureDomain: "d0", State: State(rapid.IntRange(0, 3).Draw(rt, "state"))})
+			case 1:
+				table.Remove(now, some)
+			case 2, 3, 4, 5:
+				table.Done(now, some, Result{Kind: rapid.SampledFrom(kinds).Draw(rt, "kind"), Latency: time.Millisecond})
+			case 6:
+				table.Start(now, some)
+			default:
+				in := PickInput{FailureDomain: "d1", Subset: rapid.IntRange(1, 4).Draw(rt, "subset"), Exclude: []TargetID{some}}
+				got, err := table.Pick(rng, now, in)
+				if err != nil {
+					require.Equal(rt, kind.NoTarget, kind.Of(err).Kind)
+					for _, g := range table.ranking {
+						require.True(rt, !g.open(now) || g.ejected || in.excludes(g), "%s was usable", g.member.ID)
+					}
+					break
+				}
+				g := table.byID[got]
+				require.True(rt, g.open(now) && !g.ejected && !in.excludes(g), "picked %s", got)
+			}
+			require.LessOrEqual(rt, 2*table.ejectedReady(), table.ready())
+		}
+	})
+}
+
+// Guards against reconnecting to many targets when one member comes or goes.
+func TestSubsetChangesByOneMemberAtMost(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(2, 60).Draw(rt, "targets")
+		table := filled(rapid.String().Draw(rt, "node"), n, rapid.IntRange(1, 5).Draw(rt, "domains"))
+		before := subsetOf(table, epoch, "d0", DefaultSubset)
+		require.Len(rt, before, min(n, DefaultSubset))
+		table.Remove(epoch, id(rapid.IntRange(0, n-1).Draw(rt, "gone")))
+		after := subsetOf(table, epoch, "d0", DefaultSubset)
+		lost := slices.DeleteFunc(slices.Clone(before), func(x TargetID) bool { return slices.Contains(after, x) })
+		require.LessOrEqual(rt, len(lost), 1)
+		require.Len(rt, after, min(n-1, DefaultSubset))
+	})
+}
+
+// Guards against a subset that shrinks while members of it cannot be used.
+func TestSubsetIsRefilled(t *testing.T) {
+	table := filled("n", 15, 3)
+	first := subsetOf(table, epoch, "d0", DefaultSubset)
+	table.Update(epoch, Member{ID: first[0], FailureDomain: "d0", State: Draining})
+	for range DefaultEjectAfter {
+		call(table, epoch, first[1], Result{Kind: kind.PeerLost})
+	}
+	call(table, epoch, first[2], Result{Kind: kind.Starting})
+	got := subsetOf(table, epoch, "d0", DefaultSubset)
+	require.Len(t, got, DefaultSubset)
+	for _, gone := range first[:3] {
+		require.NotContains(t, got, gone)
+	}
+	require.Contains(t, subsetOf(table, epoch.Add(startingClosed), "d0", DefaultSubset), first[2], "the local exclusion has ended")
+}
+
+// Guards against herding: 40 nodes that all hear the loads of 300 ms ago must
+// not send their calls to the target that looked idle then.
+func TestStaleLoadDoesNotHerd(t *testing.T) {
+	const nodes, targets, slots = 40, 8, 100
+	tables, rng := make([]*Table, nodes), newRand()
+	for i := range tables {
+		tables[i] = NewTable(Options{Node: fmt.Sprint(i)})
+		for j := range targets {
+			tables[i].Update(epoch, Member{ID: id(j), State: Ready, Slots: slots})
+		}
+	}
+	type running struct {
+		node int
+		at   TargetID
+	}
+	inFlight, loads := map[TargetID]int{}, map[TargetID]int{}
+	var calls [50][]running // a ring of one slot per millisecond: each call lasts 50 ms
+	worst := 0
+	for ms := range 3000 {
+		now := epoch.Add(time.Duration(ms) * time.Millisecond)
+		if ms%300 == 0 {
+			for j := range targets {
+				loads[id(j)] = inFlight[id(j)]
+			}
+			loads[id(0)] = 0 // looks idle to every node until the next report
+			for _, table := range tables {
+				for j := range targets {
+					table.Report(now, id(j), Load{InFlight: loads[id(j)], Limit: slots})
+				}
+			}
+		}
+		for _, c := range calls[ms%50] {
+			inFlight[c.at]--
+			tables[c.node].Done(now, c.at, Result{Latency: 50 * time.Millisecond})
+		}
+		calls[ms%50] = calls[ms%50][:0]
+		for range 10 { // 500 in flight over 800 slots
+			node := rng.IntN(nodes)
+			at, err := tables[node].Pick(rng, now, PickInput{})
+			require.NoError(t, err)
+			tables[node].Start(now, at)
+			inFlight[at]++
+			calls[ms%50] = append(calls[ms%50], running{node, at})
+		}
+		for _, n := range inFlight {
+			worst = max(worst, n)
+		}
+	}
+	// A target is one of two candidates in a quarter of the choices: 125 calls
+	// in flight on average, with a standard deviation of 9.7. Least loaded
+	// first would send it all 500.
+	require.LessOrEqual(t, worst, 125+4*10)
+}
+
+// Guards against a target that reports no load and so attracts every call.
+func TestFalseIdleLoadDoesNotAttractAllCalls(t *testing.T) {
+	table, rng, counts := filled("n", 4, 1), newRand(), map[TargetID]int{}
+	for i := range 4000 {
+		now := epoch.Add(time.Duration(i) * time.Millisecond)
+		at, err := table.Pick(rng, now, PickInput{})
+		require.NoError(t, err)
+		counts[at]++
+		r := Result{Latency: 20 * time.Millisecond, Load: &Load{InFlight: 5, Limit: 10}}
+		if at == id(0) {
+			r = Result{Latency: 200 * time.Millisecond, Load: &Load{Limit: 10}}
+		}
+		call(table, now, at, r)
+	}
+	require.Less(t, counts[id(0)], 1000, "the false report must not gain more than a fair share")
+}
+
+// Guards against calls across failure domains at light load, and against
+// queueing in the node's own domain while slots are free elsewhere.
+func TestOwnFailureDomainIsPreferredWhileLoadAllows(t *testing.T) {
+	table, rng := filled("n", 4, 4), newRand()
+	count := func() (local int) {
+		for range 100 {
+			if at, _ := table.Pick(rng, epoch, PickInput{FailureDomain: "d1"}); at == id(1) {
+				local++
+			}
+		}
+		return local
+	}
+	table.Start(epoch, id(1))
+	require.Equal(t, 100, count())
+	for range 8 {
+		table.Start(epoch, id(1))
+	}
+	require.Zero(t, count())
+}
+
+// Guards against waiting on connections that carry nothing, and against probes
+// with requests that must not be repeated.
+func TestSilentTargetIsEjectedAndProbed(t *testing.T) {
+	table, rng, now := filled("n", 2, 1), newRand(), epoch
+	call(table, now, id(0), Result{Latency: 10 * time.Millisecond})
+	for range silentCalls {
+		table.Start(now, id(0))
+	}
+	now = now.Add(DefaultSilence + time.Millisecond)
+	for range 20 {
+		at, err := table.Pick(rng, now, PickInput{})
+		require.NoError(t, err)
+		require.Equal(t, id(1), at)
+	}
+	waits := []time.Duration{}
+	last := now
+	for range 12000 {
+		now = now.Add(time.Millisecond)
+		at, _ := table.Pick(rng, now, PickInput{})
+		require.Equal(t, id(1), at, "a call that may not probe")
+		if at, _ = table.Pick(rng, now, PickInput{MayProbe: true}); at == id(0) {
+			waits, last = append(waits, now.Sub(last)), now
+			call(table, now, at, Result{Kind: kind.PeerLost})
+		}
+	}
+	require.GreaterOrEqual(t, len(waits), 4)
+	for i := range 3 {
+		require.InDelta(t, float64(2*waits[i]), float64(waits[i+1]), float64(2*time.Millisecond), "the back-off doubles")
+	}
+	now = now.Add(DefaultProbeMax)
+	at, _ := table.Pick(rng, now, PickInput{MayProbe: true})
+	require.Equal(t, id(0), at)
+	call(table, now, at, Result{Latency: time.Millisecond})
+	require.Equal(t, 2, table.Usable(now), "a probe that succeeds ends the ejection")
+}
+
+// Guards against sending more work to a target that has just refused some, and
+// against shunning it for long.
+func TestRefusalLowersTheWeightForAShortTime(t *testing.T) {
+	table, rng := filled("n", 2, 1), newRand()
+	call(table, epoch, id(0), Result{Kind: kind.Shed})
+	share := func(now time.Time) (n int) {
+		for range 200 {
+			if at, _ := table.Pick(rng, now, PickInput{}); at == id(0) {
+				n++
+			}
+		}
+		return n
+	}
+	require.Zero(t, share(epoch.Add(50*time.Millisecond)))
+	now := epoch.Add(time.Second)
+	table.Start(now, id(1))
+	require.Equal(t, 200, share(now))
+}
+
+// Guards against running a request with an issued key anywhere but at its
+// issuer.
+func TestPinnedTarget(t *testing.T) {
+	table := filled("n", 4, 1)
+	for range 2 * DefaultEjectAfter {
+		call(table, epoch, id(2), Result{Kind: kind.PeerLost})
+	}
+	at, err := table.Pick(nil, epoch, PickInput{Pinned: id(2)})
+	require.NoError(t, err)
+	require.Equal(t, id(2), at, "an ejection is no reason to lose the only owner")
+	for state, want := range map[State]kind.Kind{Draining: kind.Draining, Starting: kind.Starting, Down: kind.NoTarget} {
+		table.Update(epoch, Member{ID: id(2), State: state})
+		_, err := table.Pick(nil, epoch, PickInput{Pinned: id(2)})
+		require.Equal(t, want, kind.Of(err).Kind)
+	}
+	_, err = table.Pick(nil, epoch, PickInput{Pinned: "unknown"})
+	require.Equal(t, kind.NoTarget, kind.Of(err).Kind)
+}
+
+// Guards against two nodes that send the same suspect request to different
+// targets.
+func TestDesignatedTargetIsTheSameOnEveryNode(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(2, 20).Draw(rt, "targets")
+		a, b := filled("a", n, 2), filled("b", n, 3)
+		in := PickInput{Designated: rapid.Uint64Min(1).Draw(rt, "fingerprint")}
+		for range DefaultEjectAfter {
+			call(a, epoch, id(0), Result{Kind: kind.PeerLost})
+		}
+		atA, err := a.Pick(nil, epoch, in)
+		require.NoError(rt, err)
+		atB, _ := b.Pick(nil, epoch, in)
+		require.Equal(rt, atA, atB)
+		other := id(rapid.IntRange(0, n-1).Draw(rt, "gone"))
+		b.Update(epoch, Member{ID: other, State: Down})
+		if atB, _ = b.Pick(nil, epoch, in); other != atA {
+			require.Equal(rt, atA, atB, "another member's end must not move it")
+		}
+	})
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{15, 1400} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			table, rng, now := filled("n", n, 11), newRand(), epoch
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Microsecond)
+				at, _ := table.Pick(rng, now, PickInput{FailureDomain: "d1"})
+				table.Start(now, at)
+				table.Done(now, at, Result{Latency: time.Millisecond, Load: &Load{InFlight: 3, Limit: 10}})
+			}
+		})
+	}
+}
+
+func BenchmarkUpdate(b *testing.B) {
+	for _, n := range []int{15, 1400} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			table, rng, i := filled("n", n, 11), newRand(), 0
+			for b.Loop() {
+				i++
+				table.Update(epoch, Member{ID: id(i % n), FailureDomain: "d1", State: Ready, Slots: i % 9})
+				_, _ = table.Pick(rng, epoch, PickInput{FailureDomain: "d1"})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/routing/target.go
@@ -0,0 +1,59 @@
+package routing
+
+import "time"
+
+// target is what the table knows about one target.
+type target struct {
+	member Member
+	hash   uint64
+	// rank is the rendezvous weight of the target for this node.
+	rank uint64
+
+	// own counts this node's calls in flight; ownAtLoad is its value when the
+	// last load arrived.
+	own, ownAtLoad int
+	load           Load
+	loadAt         time.Time
+
+	latency   float64 // seconds; 0 means no sample
+	latencyAt time.Time
+
+	// refusals is a count that halves every refusalHalfLife.
+	refusals  float64
+	refusedAt time.Time
+
+	failures int
+	// quietSince is the last response, or the first call after an idle time.
+	quietSince time.Time
+	// unanswered counts the calls started since quietSince.
+	unanswered int
+
+	// closedUntil ends a local exclusion of a target that said that it takes no
+	// work although the membership calls it ready.
+	closedUntil time.Time
+
+	ejected    bool
+	silent     bool // ejected for silence, not for failures
+	ejectedAt  time.Time
+	restoredAt time.Time
+	backoff    time.Duration
+	nextProbe  time.Time
+}
+
+// open reports whether the target may get new work, apart from ejection.
+func (g *target) open(now time.Time) bool {
+	return g.member.State == Ready && !now.Before(g.closedUntil)
+}
+
+func (g *target) limit() float64 {
+	if g.load.Limit > 0 {
+		return float64(g.load.Limit)
+	}
+	return float64(max(1, g.member.Slots))
+}
+
+func (g *target) close(until time.Time) {
+	if until.After(g.closedUntil) {
+		g.closedUntil = until
+	}
+}
