Declare the API of configlog

Cause: node, gossip and the operator commands are written at the same time and need the types and signatures of the configuration fold.

The functions are not implemented yet.

--- /dev/null
+++ b/configlog/outcome.go
@@ -0,0 +1,26 @@
+package configlog
+
+// Outcome says what folding one log record did.
+type Outcome string
+
+// The outcomes of Fold.
+const (
+	// Accepted means that the change is in force from this offset on.
+	Accepted Outcome = "accepted"
+	// Rejected means that the record changed nothing; Result.Reason says why.
+	Rejected Outcome = "rejected"
+	// Duplicate means that the change ID was already seen; the first record
+	// with the ID counts.
+	Duplicate Outcome = "duplicate"
+	// SnapshotIgnored means that the snapshot did not move the offset forward.
+	SnapshotIgnored Outcome = "snapshot-ignored"
+	// SnapshotApplied means that the state was replaced by the snapshot's.
+	// Folding continues at State.Offset, which may be lower than the offset of
+	// the record that carries the snapshot.
+	SnapshotApplied Outcome = "snapshot-applied"
+	// AlreadyFolded means that the record is below State.Offset.
+	AlreadyFolded Outcome = "already-folded"
+	// Gap means that records between State.Offset and this one are missing, so
+	// this one cannot be judged. A later snapshot closes the gap.
+	Gap Outcome = "gap"
+)
--- /dev/null
+++ b/configlog/state.go
@@ -0,0 +1,85 @@
+// Package configlog defines the records of the config stream and folds them
+// into the configuration in force. Whether a change is accepted depends only
+// on the records before it, so all nodes that have folded the same offset hold
+// the same state. The package is pure.
+package configlog
+
+import (
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/policy"
+)
+
+// Stream is the name of the log stream that carries configuration records.
+const Stream = "config"
+
+// Bounds of the state and of records. They are part of the fold: nodes with
+// different bounds would disagree about the same log.
+const (
+	// IDWindowOffsets is for how many offsets a change ID is remembered. At
+	// 1,100 changes per day it covers more than three days of repeats.
+	IDWindowOffsets = 4096
+	// MaxResults is how many results of changes are kept.
+	MaxResults = 256
+	// MaxServices bounds the services, including deleted ones, whose revisions
+	// must be remembered so that they never start again at 1.
+	MaxServices = 256
+	// MaxChangeBytes bounds a change record. MaxServices times this bound keeps
+	// a snapshot within the record size of the log service.
+	MaxChangeBytes = 16 << 10
+	// MaxSnapshotBytes bounds a snapshot.
+	MaxSnapshotBytes = 8 << 20
+	// MaxAuthorBytes bounds the author of a change.
+	MaxAuthorBytes = 128
+)
+
+// State is the configuration after folding the config stream up to an offset.
+// It is not safe for concurrent use while Fold changes it; a state that no
+// longer changes may be read by any number of goroutines.
+type State struct {
+	offset   uint64
+	services map[policy.ServiceName]service
+}
+
+type service struct {
+	revision uint64
+	// policy is nil for a deleted service. It is never modified.
+	policy *policy.Policy
+}
+
+// NewState returns the state before the first record, at offset 0.
+func NewState() *State { return &State{services: map[policy.ServiceName]service{}} }
+
+// Offset returns the offset of the next record to fold; every record below it
+// is reflected in the state.
+func (s *State) Offset() uint64 { return s.offset }
+
+// Policy returns the policy in force, or nil if the service has none. The
+// caller must not modify it.
+func (s *State) Policy(name policy.ServiceName) *policy.Policy { return s.services[name].policy }
+
+// Policies returns all policies in force, ordered by customer and service.
+func (s *State) Policies() []*policy.Policy { panic("not implemented") }
+
+// Revision returns the base that the next change of the service must name: 0
+// for a service never seen, and the revision of the delete for a deleted one.
+func (s *State) Revision(name policy.ServiceName) uint64 { return s.services[name].revision }
+
+// Results returns the results of recent changes, oldest first.
+func (s *State) Results() []Result { panic("not implemented") }
+
+// ResultOf returns the recent result that decided the change with the given
+// ID. It reports false for an unknown ID and for one whose result is no longer
+// kept.
+func (s *State) ResultOf(id string) (Result, bool) { panic("not implemented") }
+
+// Seen returns the offset of the first record with the change ID, if it is
+// within the window.
+func (s *State) Seen(id string) (offset uint64, ok bool) { panic("not implemented") }
+
+// Snapshot returns the offset that the newest snapshot in the log covers and
+// when the log service appended it. The time is zero if none was folded.
+func (s *State) Snapshot() (covers uint64, appended time.Time) { panic("not implemented") }
+
+// Clone returns a copy that can be folded independently.
+func (s *State) Clone() *State { panic("not implemented") }
