Add the API of membership and gossip

The node package is written against this API while the state machine and the transport are still empty.

--- /dev/null
+++ b/membership/state.go
@@ -0,0 +1,32 @@
+package membership
+
+// State is what a node believes about a member.
+type State uint8
+
+// The states in order of precedence at equal incarnation.
+const (
+	Alive State = iota
+	Suspect
+	Dead
+	// Left is the state of a member that announced its departure.
+	Left
+)
+
+// String implements fmt.Stringer.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Dead:
+		return "dead"
+	case Left:
+		return "left"
+	}
+	return "unknown"
+}
+
+// Present reports whether a member in state s counts as part of the cluster.
+// A suspect is present until its suspicion times out.
+func (s State) Present() bool { return s == Alive || s == Suspect }
--- /dev/null
+++ b/membership/validate.go
@@ -0,0 +1,18 @@
+package membership
+
+import (
+	"strconv"
+	"unicode/utf8"
+)
+
+// minDatagramBytes leaves room for a header and a broadcast of the largest size.
+const minDatagramBytes = 1000
+
+func formatNumber(v float64) string { return strconv.FormatFloat(v, 'g', -1, 64) }
+
+func validName(s string) bool { return len(s) <= MaxNameBytes && utf8.ValidString(s) }
+
+func validMeta(m Meta) bool {
+	return validName(m.Customer) && validName(m.Service) && validName(m.FailureDomain) &&
+		validName(m.Region) && m.TargetState <= Down && m.Slots <= MaxSlots
+}
