Add the API of the decision packages for admission to chains

The bodies of limit and shedding are placeholders; the others have no tests yet.

Conclusion: the signatures can be compiled against.

--- /dev/null
+++ b/admission/config.go
@@ -0,0 +1,35 @@
+package admission
+
+import "time"
+
+// Defaults of a queue.
+const (
+	// DefaultMaxWaiting bounds memory. At 1,000 requests per second it holds one
+	// second of arrivals, more than the default queue timeout lets wait.
+	DefaultMaxWaiting = 1024
+	// DefaultQueueTimeout is the policy's default.
+	DefaultQueueTimeout = 250 * time.Millisecond
+	// StandingInterval is how long a queue must not have been empty to count as
+	// standing. Source: the interval of CoDel (Nichols and Jacobson, "Controlling
+	// Queue Delay", ACM Queue 2012) as used with adaptive LIFO (Maurer, "Fail at
+	// Scale", ACM Queue 2015).
+	StandingInterval = 100 * time.Millisecond
+)
+
+// Config holds the settings of a Queue. Zero fields take the defaults.
+type Config struct {
+	// MaxWaiting bounds the number of waiting requests.
+	MaxWaiting int
+	// QueueTimeout bounds the time that a request waits.
+	QueueTimeout time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	if c.MaxWaiting <= 0 {
+		c.MaxWaiting = DefaultMaxWaiting
+	}
+	if c.QueueTimeout <= 0 {
+		c.QueueTimeout = DefaultQueueTimeout
+	}
+	return c
+}
--- /dev/null
+++ b/limit/report.go
@@ -0,0 +1,10 @@
+package limit
+
+// Report is what the target's health and load endpoints say. It is hearsay: it
+// can lower the limit, and it never raises it.
+type Report struct {
+	Healthy bool
+	// Capacity is the number of requests that the target says it can serve at
+	// once; 0 means that it does not say.
+	Capacity int
+}
--- /dev/null
+++ b/shedding/verdict.go
@@ -0,0 +1,17 @@
+package shedding
+
+import "github.com/goldcrestsail/goldcrestsail/admission"
+
+// Verdict is the outcome of Check.
+type Verdict struct {
+	// Refuse reports that the request is to be refused with kind shed-early.
+	Refuse bool
+	// Service is the service that would refuse the request, with its level. It
+	// is empty when none would.
+	Service string
+	Level   admission.Rank
+}
+
+// Probe reports that the request is let through although a service on its
+// usual path is expected to refuse it.
+func (v Verdict) Probe() bool { return !v.Refuse && v.Service != "" }
