--- a/internal/standin/target/handler.go
+++ b/internal/standin/target/handler.go
@@ -61,7 +61,7 @@
 	defer func() { <-slots }()
 
 	request := r.Header.Get(HeaderClientRequest)
-	t.effects.executed(t.config.Service + "/" + request)
+	t.effects.executed(request, t.config.Service, r.URL.Path)
 	if t.config.CrashPath != "" && strings.HasPrefix(r.URL.Path, t.config.CrashPath) {
 		t.Crash()
 		panic(http.ErrAbortHandler)
@@ -75,7 +75,7 @@
 		return
 	}
 	if key := r.Header.Get(chainhttp.HeaderKey); key != "" {
-		t.effects.effect(t.config.Service + "/" + key)
+		t.effects.effect(t.config.Service, key)
 	}
 	t.writeAnswer(w, r, request, calls)
 }
--- a/internal/standin/target/ledger.go
+++ b/internal/standin/target/ledger.go
@@ -2,63 +2,75 @@
 
 import "sync"
 
-// Ledger counts executions and side effects, so that duplicates show. It is
-// safe for concurrent use and may be shared by the targets of a service.
+// Ledger counts executions and side effects, so that repeats and duplicates
+// show. It is safe for concurrent use and is shared by all targets of a test.
 type Ledger struct {
-	mu         sync.Mutex
-	effects    map[string]int
-	executions map[string]int
+	mu      sync.Mutex
+	effects map[string]int
+	// executions counts the starts of each request by service and path.
+	executions map[string]map[string]int
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{effects: map[string]int{}, executions: map[string]int{}}
+	return &Ledger{effects: map[string]int{}, executions: map[string]map[string]int{}}
 }
 
-func (l *Ledger) executed(requestID string) {
+func (l *Ledger) executed(requestID, service, path string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.executions[requestID]++
+	starts := l.executions[requestID]
+	if starts == nil {
+		starts = map[string]int{}
+		l.executions[requestID] = starts
+	}
+	starts[service+path]++
 }
 
-func (l *Ledger) effect(key string) {
+func (l *Ledger) effect(service, key string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.effects[key]++
+	l.effects[service+"/"+key]++
 }
 
-// Executions returns how often the request with this ID was started.
-func (l *Ledger) Executions(requestID string) int {
+// Executions returns how often a request was started at the given service and
+// path.
+func (l *Ledger) Executions(requestID, service, path string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.executions[requestID]
+	return l.executions[requestID][service+path]
 }
 
-// MaxExecutions returns the highest number of starts of one request.
-func (l *Ledger) MaxExecutions() int {
+// MaxRetries returns the highest number of repeated starts of one request,
+// summed over its whole chain.
+func (l *Ledger) MaxRetries() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	highest := 0
-	for _, n := range l.executions {
-		highest = max(highest, n)
+	for _, starts := range l.executions {
+		retries := 0
+		for _, n := range starts {
+			retries += n - 1
+		}
+		highest = max(highest, retries)
 	}
 	return highest
 }
 
-// Effects returns how often the effect of a key took place.
-func (l *Ledger) Effects(key string) int {
+// Effects returns how often the effect of a key took place at a service.
+func (l *Ledger) Effects(service, key string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.effects[key]
+	return l.effects[service+"/"+key]
 }
 
 // Duplicates returns the number of effects beyond the first of each key.
 func (l *Ledger) Duplicates() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := 0
-	for _, count := range l.effects {
-		n += count - 1
+	duplicates := 0
+	for _, n := range l.effects {
+		duplicates += n - 1
 	}
-	return n
+	return duplicates
 }
--- /dev/null
+++ b/node/admin.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/google/uuid"
+)
+
+// adminHandler serves metrics, the state dump and drain.
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		n.metrics.write(w)
+	})
+	mux.HandleFunc("GET /dump", n.serveDump)
+	mux.HandleFunc("POST /drain", n.serveDrain)
+	return mux
+}
+
+func (n *Node) serveDump(w http.ResponseWriter, r *http.Request) {
+	section := r.URL.Query().Get("section")
+	state := n.Dump()
+	if section != "" {
+		part, ok := state[section]
+		if !ok {
+			writeError(w, uuid.NewString(), malformed("section", section, "one of "+sectionNames(state)))
+			return
+		}
+		state = map[string]any{section: part}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(state); err != nil {
+		n.log.Error("dump not written", "error", err)
+	}
+}
+
+// serveDrain starts a graceful departure and answers at once; the process ends
+// when all work in progress has finished.
+func (n *Node) serveDrain(w http.ResponseWriter, _ *http.Request) {
+	n.StartDrain()
+	w.WriteHeader(http.StatusAccepted)
+}
--- /dev/null
+++ b/node/execute.go
@@ -0,0 +1,260 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/goldcrestsail/goldcrestsail/admission"
+	"github.com/goldcrestsail/goldcrestsail/chain"
+	"github.com/goldcrestsail/goldcrestsail/claims"
+	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/limit"
+	"github.com/goldcrestsail/goldcrestsail/peerrpc"
+	"github.com/goldcrestsail/goldcrestsail/policy"
+)
+
+// finishGrace is how long a non-idempotent request that was passed to the
+// target may outlive its caller's deadline, so that a repeat can be given its
+// response.
+const finishGrace = 30 * time.Second
+
+// execution is one request at the node of its target.
+type execution struct {
+	call     *peerrpc.CallRequest
+	policy   *policy.Policy
+	rank     admission.Rank
+	deadline time.Time
+	// token is set for non-idempotent requests.
+	token *claims.Token
+	// unused is the part of the allowance that goes back to the caller.
+	unused  int
+	visited []string
+}
+
+// execute runs a request on the target beside the node and returns the whole
+// response, with the load and the unused allowance.
+func (n *Node) execute(ctx context.Context, call *peerrpc.CallRequest) *peerrpc.CallResponse {
+	defer n.work.begin()()
+	x := &execution{call: call, unused: int(call.Allowance), visited: []string{call.Service + "." + call.Customer}}
+	response, failure := n.run(ctx, x)
+	if failure != nil {
+		response = errorResponse(call.RequestId, failure)
+		n.metrics.refused(failure.Kind)
+	}
+	response.RequestId = call.RequestId
+	response.Allowance = uint32(x.unused)
+	response.Visited = x.visited
+	response.Load = n.load()
+	response.Levels = n.levelsOf(x.visited)
+	return response
+}
+
+func (n *Node) run(ctx context.Context, x *execution) (*peerrpc.CallResponse, *kind.Error) {
+	if failure := n.check(x); failure != nil {
+		return nil, failure
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	if x.call.NonIdempotent {
+		return n.runOnce(ctx, x)
+	}
+	id, failure := n.gate.acquire(ctx, x.rank, x.deadline)
+	if failure != nil {
+		return nil, failure
+	}
+	return n.runAdmitted(ctx, x, id)
+}
+
+// check refuses a request before any work is done for it.
+func (n *Node) check(x *execution) *kind.Error {
+	call := x.call
+	announcement, state := n.target.current()
+	name := policy.ServiceName{Customer: call.Customer, Service: call.Service}
+	if call.TargetId != n.id.String() || announcement.service() != name {
+		return kind.Newf(kind.NoTarget, "the target of %s is not beside this node", name)
+	}
+	if n.draining.Load() || state == Draining {
+		return kind.New(kind.Draining, "the target is leaving")
+	}
+	if state != Ready {
+		return kind.Newf(kind.Starting, "the target is %s", state)
+	}
+	if x.policy = n.policyOf(name); x.policy == nil {
+		return kind.Newf(kind.UnknownService, "no policy for %s", name)
+	}
+	if call.TimeoutMicros <= 0 {
+		return kind.New(kind.DeadlineExpired, "the deadline has passed").WithRun(kind.NotRun)
+	}
+	if call.Fingerprint != 0 && n.isQuarantined(call.Fingerprint) {
+		return kind.New(kind.Quarantined, "the request has crashed targets")
+	}
+	x.deadline = time.Now().Add(time.Duration(call.TimeoutMicros) * time.Microsecond)
+	x.rank = admission.MakeRank(int(call.Importance), call.Depth > 0, admission.ChainLevel(call.ChainId))
+	return nil
+}
+
+// runOnce runs a non-idempotent request at most once for its key. The request
+// goes on when the caller leaves after it was passed to the target.
+func (n *Node) runOnce(ctx context.Context, x *execution) (*peerrpc.CallResponse, *kind.Error) {
+	if n.gate.refuses(x.rank) {
+		// A claim for a request that is shed anyway would cost two appends.
+		return nil, kind.New(kind.Shed, "the admission level refuses the request")
+	}
+	guard, failure := n.guards.get(policy.ServiceName{Customer: x.call.Customer, Service: x.call.Service})
+	if failure != nil {
+		return nil, failure
+	}
+	verdict, err := guard.Begin(ctx, x.call.Key, x.call.Fingerprint)
+	if err != nil {
+		return nil, kind.Of(err)
+	}
+	if verdict.Replayed {
+		return replayed(verdict.Response)
+	}
+	x.token = verdict.Token
+	id, failure := n.gate.acquire(ctx, x.rank, x.deadline)
+	if failure != nil {
+		x.token.Release()
+		return nil, failure
+	}
+	detached, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Until(x.deadline)+finishGrace)
+	type result struct {
+		response *peerrpc.CallResponse
+		failure  *kind.Error
+	}
+	done := make(chan result, 1)
+	ended := n.work.begin()
+	// The copy keeps the detached run from changing fields that the response
+	// to the caller is built from.
+	own := *x
+	go func() {
+		defer ended()
+		defer cancel()
+		response, failure := n.runAdmitted(detached, &own, id)
+		done <- result{response, failure}
+	}()
+	select {
+	case r := <-done:
+		x.unused, x.visited = own.unused, own.visited
+		return r.response, r.failure
+	case <-ctx.Done():
+		x.unused = 0
+		return nil, kind.New(kind.DeadlineExpired, "the target is still running the request; repeat with the same key for its response")
+	}
+}
+
+func replayed(stored []byte) (*peerrpc.CallResponse, *kind.Error) {
+	response := &peerrpc.CallResponse{}
+	if err := proto.Unmarshal(stored, response); err != nil {
+		return nil, kind.New(kind.AlreadyRan, "the stored response cannot be read")
+	}
+	response.Replayed = true
+	return response, nil
+}
+
+// runAdmitted passes an admitted request to the target and gives the slot back.
+func (n *Node) runAdmitted(ctx context.Context, x *execution, id admission.ID) (*peerrpc.CallResponse, *kind.Error) {
+	var token chain.Token
+	rand.Read(token[:])
+	call := x.call
+	entry := chain.Chain{
+		ID: call.ChainId, Class: call.Class, Importance: int(call.Importance), Deadline: x.deadline,
+		Depth: int(call.Depth), Path: call.PathServices, Allowance: int(call.Allowance),
+	}
+	if failure := n.chains.enter(time.Now(), token, entry, x.policy.MaxDepth); failure != nil {
+		n.gate.release(id, nil)
+		x.release()
+		return nil, failure
+	}
+	if x.token != nil {
+		if err := x.token.MarkWritten(); err != nil {
+			n.chains.leave(time.Now(), token)
+			n.gate.release(id, nil)
+			return nil, kind.Of(err)
+		}
+	}
+	response, failure := n.send(ctx, x, token)
+	summary := n.chains.leave(time.Now(), token)
+	x.unused, x.visited = summary.Unused, summary.Visited
+	n.gate.release(id, sampleOf(summary, failure))
+	x.settle(response, failure)
+	return response, failure
+}
+
+// send passes a request to the target and looks after a target that crashes.
+func (n *Node) send(ctx context.Context, x *execution, token chain.Token) (*peerrpc.CallResponse, *kind.Error) {
+	run := n.target.begin(x.call.Fingerprint)
+	response, failure := n.target.clientFor(x.policy).send(ctx, &targetRequest{
+		call: x.call, token: token.String(), deadline: x.deadline, maxAnswerBytes: x.policy.MaxAnswerBytes,
+	})
+	if failure != nil {
+		switch failure.Kind {
+		case kind.TargetCrashed, kind.AnswerTruncated, kind.DialFailed:
+			n.checkTargetAlive()
+		}
+	}
+	n.target.end(run)
+	if failure == nil {
+		n.completed(x.call.Fingerprint)
+	}
+	return response, failure
+}
+
+// settle ends the claim of a non-idempotent request.
+func (x *execution) settle(response *peerrpc.CallResponse, failure *kind.Error) {
+	if x.token == nil {
+		return
+	}
+	if failure != nil {
+		if failure.Run == kind.NotRun {
+			x.token.Release()
+			return
+		}
+		x.token.Lost()
+		return
+	}
+	stored, err := proto.Marshal(response)
+	if err != nil {
+		x.token.Lost()
+		return
+	}
+	x.token.Finish(stored)
+}
+
+func (x *execution) release() {
+	if x.token != nil {
+		x.token.Release()
+	}
+}
+
+// sampleOf returns what the limiter learns from a request, or nil when nothing
+// reached the target.
+func sampleOf(summary chain.Summary, failure *kind.Error) *limit.Sample {
+	sample := &limit.Sample{Latency: summary.Own, Total: summary.Total}
+	if failure == nil {
+		return sample
+	}
+	switch failure.Kind {
+	case kind.DeadlineExpired:
+		sample.TimedOut = true
+	case kind.Shed:
+		sample.Refused = true
+	default:
+		return nil
+	}
+	return sample
+}
+
+// load returns the load of the target as this node sees it.
+func (n *Node) load() *peerrpc.Load {
+	stats, limits := n.gate.stats()
+	_, state := n.target.current()
+	return &peerrpc.Load{
+		InFlight: uint32(stats.Running), Waiting: uint32(stats.Waiting), Limit: uint32(stats.Limit),
+		AdmissionLevel: uint32(stats.Level), Draining: n.draining.Load() || state == Draining,
+		ServiceTimeMicros: limits.ServiceTime.Microseconds(),
+	}
+}
--- /dev/null
+++ b/node/forward.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/goldcrestsail/goldcrestsail/chain"
+	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/peerrpc"
+	"github.com/goldcrestsail/goldcrestsail/routing"
+)
+
+// The margin between a caller's deadline and the one that the target's node is
+// told lets the response of that node arrive in time: a twentieth of the time
+// left, at most 5 ms.
+const (
+	marginShare = 20
+	maxMargin   = 5 * time.Millisecond
+)
+
+// forward sends a request to a target of its service, and again to another one
+// as far as the allowance and the retry budget go.
+func (n *Node) forward(ctx context.Context, q *request, a attempts) (*peerrpc.CallResponse, *kind.Error) {
+	ctx, cancel := context.WithDeadline(ctx, q.deadline)
+	defer cancel()
+	allowance, failure := a.first()
+	if failure != nil {
+		return nil, failure
+	}
+	n.budgets.attempt(q)
+	f := forwarding{node: n, request: q}
+	for {
+		response, failure := f.attempt(ctx, allowance)
+		out := outcomeOf(response)
+		if failure == nil {
+			a.end(out)
+			return response, nil
+		}
+		f.uncertain = f.uncertain || failure.Run == kind.MayHaveRun
+		if !f.mayRetry(ctx, failure) || !n.budgets.retry(q) {
+			a.end(out)
+			return nil, f.final(failure)
+		}
+		next, exhausted := a.again(out)
+		if exhausted != nil {
+			return nil, f.final(failure)
+		}
+		allowance = next
+		n.metrics.retries.Inc()
+	}
+}
+
+// forwarding is the state of one request over its attempts.
+type forwarding struct {
+	node    *Node
+	request *request
+	tried   []routing.TargetID
+	// uncertain reports that an attempt may have run.
+	uncertain bool
+	// crashes counts the targets that crashed under the request.
+	crashes uint32
+}
+
+// attempt sends the request once.
+func (f *forwarding) attempt(ctx context.Context, allowance int) (*peerrpc.CallResponse, *kind.Error) {
+	n, q := f.node, f.request
+	start := time.Now()
+	id, address, failure := f.pick(start)
+	if failure != nil {
+		return nil, failure
+	}
+	f.tried = append(f.tried, id)
+	call := f.callRequest(id, allowance, start)
+	response, failure := n.invoke(ctx, id, address, call)
+	now := time.Now()
+	n.router.done(now, q.name, id, resultOf(now.Sub(start), response, failure))
+	if response != nil {
+		n.observeLevels(q.name.String(), id, response, now)
+	}
+	if failure != nil && failure.Kind == kind.TargetCrashed {
+		f.crashes++
+	}
+	return response, failure
+}
+
+func (f *forwarding) pick(now time.Time) (routing.TargetID, string, *kind.Error) {
+	n, q := f.node, f.request
+	in := routing.PickInput{Exclude: f.tried, MayProbe: q.class.Retryable, Pinned: q.pinned}
+	if suspect := n.isSuspect(q.fingerprint); suspect || f.crashes > 0 {
+		in.Designated = q.fingerprint
+	}
+	id, address, failure := n.router.pick(now, q.name, in)
+	if failure != nil && failure.Kind == kind.NoTarget && len(f.tried) > 0 {
+		// Every target was tried: the one that was lost first may be reachable
+		// on a new connection.
+		in.Exclude = nil
+		return n.router.pick(now, q.name, in)
+	}
+	return id, address, failure
+}
+
+func (f *forwarding) callRequest(id routing.TargetID, allowance int, now time.Time) *peerrpc.CallRequest {
+	q := f.request
+	left := q.deadline.Sub(now)
+	return &peerrpc.CallRequest{
+		RequestId: uuid.NewString(), Customer: q.name.Customer, Service: q.name.Service, TargetId: string(id),
+		Method: q.method, Path: q.path, Headers: q.headers, Body: q.body,
+		TimeoutMicros: (left - min(left/marginShare, maxMargin)).Microseconds(),
+		ChainId:       q.chainID, Depth: uint32(q.depth), Importance: uint32(q.importance), Class: q.class.Name,
+		Allowance: uint32(allowance), NonIdempotent: q.class.NonIdempotent, Key: q.key,
+		SuspectCrashes: f.crashes, Fingerprint: q.fingerprint, Retryable: q.class.Retryable, PathServices: q.services,
+	}
+}
+
+// mayRetry reports whether a failure allows a further attempt.
+func (f *forwarding) mayRetry(ctx context.Context, failure *kind.Error) bool {
+	if !kind.AnswerFor(failure.Kind).Retry || ctx.Err() != nil {
+		return false
+	}
+	if failure.Run == kind.NotRun {
+		return true
+	}
+	if f.request.class.NonIdempotent {
+		// The key makes a repeat safe after the connection to the target's node
+		// was lost; after a crash of the target its outcome stays unknown.
+		return failure.Kind == kind.PeerLost
+	}
+	return f.request.class.Retryable
+}
+
+// final returns the failure of the last attempt, with the run state of all.
+func (f *forwarding) final(failure *kind.Error) *kind.Error {
+	if f.uncertain && failure.Run == kind.NotRun {
+		return failure.WithRun(kind.MayHaveRun)
+	}
+	return failure
+}
+
+// invoke runs a call on the target beside this node, or on that of a peer.
+func (n *Node) invoke(ctx context.Context, id routing.TargetID, address string, call *peerrpc.CallRequest) (*peerrpc.CallResponse, *kind.Error) {
+	var response *peerrpc.CallResponse
+	if string(id) == n.id.String() {
+		response = n.execute(ctx, call)
+	} else {
+		var err error
+		if response, err = n.peers.client(address).Call(ctx, call); err != nil {
+			return nil, peerError(ctx, err)
+		}
+	}
+	if response.RequestId != call.RequestId {
+		n.metrics.mismatched.Inc()
+		return nil, kind.New(kind.AnswerMismatched, "the response belongs to another request")
+	}
+	if response.Kind != "" {
+		return response, errorOf(response)
+	}
+	return response, nil
+}
+
+func outcomeOf(response *peerrpc.CallResponse) chain.Outcome {
+	if response == nil {
+		return chain.Outcome{}
+	}
+	return chain.Outcome{Answered: true, Unused: int(response.Allowance), Visited: response.Visited}
+}
--- /dev/null
+++ b/node/gate.go
@@ -0,0 +1,152 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/admission"
+	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/limit"
+	"github.com/goldcrestsail/goldcrestsail/policy"
+)
+
+// gate runs the admission queue and the concurrency limit of the target beside
+// the node. It is safe for concurrent use.
+type gate struct {
+	mu      sync.Mutex
+	queue   *admission.Queue
+	limiter *limit.Limiter
+	// waiting holds the channel of each request without a decision.
+	waiting map[admission.ID]chan admission.Decision
+	nextID  admission.ID
+	timer   *time.Timer
+	policy  *policy.Policy
+}
+
+func newGate(now time.Time) *gate {
+	g := &gate{
+		limiter: limit.New(limit.Config{Slots: 1, MinLimit: 1}, now),
+		waiting: map[admission.ID]chan admission.Decision{},
+	}
+	g.queue = admission.NewQueue(admission.Config{}, 1, now)
+	g.timer = time.AfterFunc(time.Hour, g.tick)
+	return g
+}
+
+// configure applies a policy and the slots that the target announced.
+func (g *gate) configure(now time.Time, p *policy.Policy, announcedSlots int) {
+	slots := min(p.Slots, p.Connections)
+	if announcedSlots > 0 {
+		slots = min(slots, announcedSlots)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.policy = p
+	g.limiter.Configure(now, limit.Config{Slots: slots, MinLimit: p.MinLimit, ColdStart: p.ColdStart})
+	g.settleLocked(now, g.queue.Configure(now, admission.Config{QueueTimeout: p.QueueTimeout}))
+	g.settleLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
+}
+
+// targetStarted begins the cold start ramp.
+func (g *gate) targetStarted(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limiter.TargetStarted(now)
+	g.settleLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
+}
+
+// reported applies what the target says about its own capacity.
+func (g *gate) reported(now time.Time, r limit.Report) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limiter.ObserveReport(now, r)
+	g.settleLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
+}
+
+// acquire waits for a slot. The error has run state not-run.
+func (g *gate) acquire(ctx context.Context, rank admission.Rank, deadline time.Time) (admission.ID, *kind.Error) {
+	now := time.Now()
+	decided := make(chan admission.Decision, 1)
+	g.mu.Lock()
+	g.nextID++
+	id := g.nextID
+	g.waiting[id] = decided
+	g.settleLocked(now, g.queue.Offer(now, admission.Request{
+		ID: id, Rank: rank, Deadline: deadline, ServiceTime: g.limiter.ServiceTime(),
+	}))
+	g.mu.Unlock()
+
+	select {
+	case d := <-decided:
+		return id, d.Err()
+	case <-ctx.Done():
+		g.cancel(id)
+		return id, kind.New(kind.Canceled, "the caller left while the request was waiting").WithRun(kind.NotRun)
+	}
+}
+
+// cancel withdraws a request, whether it still waits or has just got a slot.
+func (g *gate) cancel(id admission.ID) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.waiting, id)
+	g.settleLocked(now, g.queue.Cancel(now, id))
+}
+
+// release gives a slot back and records how the request went; a nil sample
+// records nothing.
+func (g *gate) release(id admission.ID, sample *limit.Sample) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if sample != nil {
+		sample.InFlight = g.queue.Stats(now).Running
+		g.limiter.Observe(now, *sample)
+	}
+	g.settleLocked(now, g.queue.Release(now, id))
+	g.settleLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
+}
+
+// stats returns the state of the queue and of the limiter.
+func (g *gate) stats() (admission.Stats, limit.State) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Stats(now), g.limiter.State()
+}
+
+// refuses reports whether a request of this rank would be refused now.
+func (g *gate) refuses(rank admission.Rank) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return rank.RefusedAt(g.queue.Level(time.Now()))
+}
+
+// tick runs the time-driven parts of queue and limiter.
+func (g *gate) tick() {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limiter.Tick(now)
+	g.settleLocked(now, g.queue.Expire(now))
+	g.settleLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
+	g.timer.Reset(limit.TickInterval)
+}
+
+// settleLocked hands decisions to the requests that wait for them and sets the
+// timer for the next expiry.
+func (g *gate) settleLocked(now time.Time, decisions []admission.Decision) {
+	for _, d := range decisions {
+		if decided := g.waiting[d.ID]; decided != nil {
+			decided <- d
+			delete(g.waiting, d.ID)
+		}
+	}
+	if next, ok := g.queue.NextExpiry(); ok {
+		g.timer.Reset(min(max(next.Sub(now), 0), limit.TickInterval))
+	}
+}
+
+func (g *gate) close() { g.timer.Stop() }
--- /dev/null
+++ b/node/guards.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/goldcrestsail/goldcrestsail/claims"
+	"github.com/goldcrestsail/goldcrestsail/idempotency"
+	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/peerrpc"
+	"github.com/goldcrestsail/goldcrestsail/policy"
+	"github.com/goldcrestsail/goldcrestsail/routing"
+)
+
+// guards runs the at-most-once guard of the service whose target is beside the
+// node. It is safe for concurrent use.
+type guards struct {
+	node *Node
+	ctx  context.Context
+	stop context.CancelFunc
+	done sync.WaitGroup
+	mu   sync.Mutex
+	of   map[policy.ServiceName]*claims.Guard
+}
+
+func newGuards(n *Node) *guards {
+	ctx, stop := context.WithCancel(context.Background())
+	return &guards{node: n, ctx: ctx, stop: stop, of: map[policy.ServiceName]*claims.Guard{}}
+}
+
+// get returns the guard of a service, or an error with run state not-run when
+// this node's target does not serve it.
+func (g *guards) get(name policy.ServiceName) (*claims.Guard, *kind.Error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if guard := g.of[name]; guard != nil {
+		return guard, nil
+	}
+	return nil, kind.Newf(kind.ClaimUnavailable, "this node keeps no claims of %s", name)
+}
+
+// ensure starts the guard of a service, or adapts its window to the policy.
+func (g *guards) ensure(p *policy.Policy) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if guard := g.of[p.Name]; guard != nil {
+		if err := guard.SetWindow(p.ClaimWindow); err != nil {
+			g.node.log.Error("claim window not changed", "service", p.Name.String(), "error", err)
+		}
+		return
+	}
+	if g.node.config.Log == nil || !hasNonIdempotent(p) || g.ctx.Err() != nil {
+		return
+	}
+	guard, err := claims.NewGuard(claims.Options{
+		Service: p.Name, Process: g.node.id, Log: g.node.config.Log, Asker: &outcomeAsker{g.node, p.Name},
+		Config: idempotency.Config{Window: p.ClaimWindow}, Logger: g.node.log.Named("claims"),
+	})
+	if err != nil {
+		g.node.log.Error("claims not started", "service", p.Name.String(), "error", err)
+		return
+	}
+	g.of[p.Name] = guard
+	g.done.Go(func() { guard.Run(g.ctx) })
+}
+
+// close ends all guards and waits for them.
+func (g *guards) close() {
+	g.stop()
+	g.done.Wait()
+}
+
+func hasNonIdempotent(p *policy.Policy) bool {
+	for i := range p.Classes {
+		if p.Classes[i].NonIdempotent {
+			return true
+		}
+	}
+	return false
+}
+
+// outcomeAsker asks the owner of a claim over RPC.
+type outcomeAsker struct {
+	node *Node
+	name policy.ServiceName
+}
+
+// AskOutcome implements claims.OutcomeAsker.
+func (a *outcomeAsker) AskOutcome(ctx context.Context, owner idempotency.ProcessID, ref []byte, wait time.Duration) (idempotency.Outcome, error) {
+	address, ok := a.node.router.address(routing.TargetID(uuid.UUID(owner).String()))
+	if !ok {
+		return idempotency.Outcome{}, kind.New(kind.PeerLost, "the owner of the claim is not a member")
+	}
+	answer, err := a.node.peers.client(address).Outcome(ctx, &peerrpc.OutcomeRequest{
+		Customer: a.name.Customer, Service: a.name.Service, KeyHash: ref, Owner: owner.String(), WaitMs: wait.Milliseconds(),
+	})
+	if err != nil {
+		return idempotency.Outcome{}, peerError(ctx, err)
+	}
+	return idempotency.Outcome{State: idempotency.OutcomeState(answer.State), Response: answer.Response}, nil
+}
--- /dev/null
+++ b/node/keys.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/peerrpc"
+	"github.com/goldcrestsail/goldcrestsail/policy"
+	"github.com/goldcrestsail/goldcrestsail/routing"
+)
+
+// maxKeysBody bounds the body of a request for keys.
+const maxKeysBody = 4 << 10
+
+// issuedKeys is the body of the answer to a request for keys.
+type issuedKeys struct {
+	Keys         []string `json:"keys"`
+	ValidSeconds int64    `json:"valid_seconds"`
+}
+
+// serveKeys hands out idempotency keys bound to one process of a service.
+func (n *Node) serveKeys(w http.ResponseWriter, r *http.Request) {
+	defer n.work.begin()()
+	requestID := uuid.NewString()
+	keys, failure := n.issueKeys(r)
+	if failure != nil {
+		writeError(w, requestID, failure)
+		return
+	}
+	body, err := json.Marshal(keys)
+	if err != nil {
+		writeError(w, requestID, kind.New(kind.Internal, err.Error()))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Write(body)
+}
+
+func (n *Node) issueKeys(r *http.Request) (*issuedKeys, *kind.Error) {
+	name, err := policy.ParseServiceName(r.Host)
+	if err != nil {
+		return nil, kind.Of(err)
+	}
+	if r.Method != http.MethodPost {
+		return nil, malformed("method", r.Method, "POST")
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxKeysBody))
+	if err != nil {
+		return nil, malformed("body", err.Error(), "a complete body")
+	}
+	asked := struct {
+		Count uint32 `json:"count"`
+	}{Count: 1}
+	if len(body) > 0 {
+		if err := json.Unmarshal(body, &asked); err != nil {
+			return nil, malformed("body", string(body), `{"count": N}`)
+		}
+	}
+	start := time.Now()
+	id, address, failure := n.router.pick(start, name, routing.PickInput{})
+	if failure != nil {
+		return nil, failure
+	}
+	answer, err := n.peers.client(address).IssueKeys(r.Context(), &peerrpc.IssueKeysRequest{
+		Customer: name.Customer, Service: name.Service, Count: asked.Count,
+	})
+	result := routing.Result{Latency: time.Since(start), Status: http.StatusOK}
+	if err != nil {
+		failure = peerError(r.Context(), err)
+		result = routing.Result{Kind: failure.Kind}
+	}
+	n.router.done(time.Now(), name, id, result)
+	if failure != nil {
+		// A key that was issued and lost on the way is never used.
+		return nil, failure.WithRun(kind.NotRun)
+	}
+	return &issuedKeys{answer.Keys, answer.ValidSeconds}, nil
+}
--- /dev/null
+++ b/node/peer_service.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/twitchtv/twirp"
+
+	"github.com/goldcrestsail/goldcrestsail/configlog"
+	"github.com/goldcrestsail/goldcrestsail/peerrpc"
+	"github.com/goldcrestsail/goldcrestsail/policy"
+)
+
+// maxOutcomeWait bounds how long a peer's question keeps an RPC open.
+const maxOutcomeWait = 10 * time.Second
+
+// peerService serves the RPCs of other nodes.
+type peerService struct{ node *Node }
+
+var _ peerrpc.Peer = (*peerService)(nil)
+
+// Call implements peerrpc.Peer.
+func (s *peerService) Call(ctx context.Context, call *peerrpc.CallRequest) (*peerrpc.CallResponse, error) {
+	if call.RequestId == "" || call.Method == "" || call.Path == "" || call.ChainId == "" {
+		return nil, twirp.RequiredArgumentError("request_id, method, path and chain_id")
+	}
+	return s.node.execute(ctx, call), nil
+}
+
+// Outcome implements peerrpc.Peer.
+func (s *peerService) Outcome(ctx context.Context, q *peerrpc.OutcomeRequest) (*peerrpc.OutcomeResponse, error) {
+	owner, err := uuid.Parse(q.Owner)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("owner", "want a UUID")
+	}
+	guard, failure := s.node.guards.get(policy.ServiceName{Customer: q.Customer, Service: q.Service})
+	if failure != nil {
+		return &peerrpc.OutcomeResponse{}, nil
+	}
+	wait := min(time.Duration(q.WaitMs)*time.Millisecond, maxOutcomeWait)
+	outcome := guard.Outcome(ctx, q.KeyHash, owner, wait)
+	return &peerrpc.OutcomeResponse{State: peerrpc.OutcomeResponse_State(outcome.State), Response: outcome.Response}, nil
+}
+
+// PullConfig implements peerrpc.Peer.
+func (s *peerService) PullConfig(_ context.Context, q *peerrpc.PullConfigRequest) (*peerrpc.PullConfigResponse, error) {
+	state := s.node.configState()
+	if state.Offset() <= q.HaveOffset {
+		return &peerrpc.PullConfigResponse{Offset: state.Offset()}, nil
+	}
+	return &peerrpc.PullConfigResponse{Offset: state.Offset(), Snapshot: configlog.EncodeSnapshot(state)}, nil
+}
+
+// IssueKeys implements peerrpc.Peer.
+func (s *peerService) IssueKeys(_ context.Context, q *peerrpc.IssueKeysRequest) (*peerrpc.IssueKeysResponse, error) {
+	guard, failure := s.node.guards.get(policy.ServiceName{Customer: q.Customer, Service: q.Service})
+	if failure != nil {
+		return nil, twirp.NotFoundError(failure.Error())
+	}
+	keys, valid, err := guard.IssueKeys(int(q.Count))
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("count", err.Error())
+	}
+	return &peerrpc.IssueKeysResponse{Keys: keys, ValidSeconds: int64(valid / time.Second)}, nil
+}
--- a/node/request.go
+++ b/node/request.go
@@ -13,7 +13,7 @@
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/peerrpc"
 	"github.com/goldcrestsail/goldcrestsail/policy"
-	"github.com/goldcrestsail/goldcrestsail/retry"
+	"github.com/goldcrestsail/goldcrestsail/routing"
 )
 
 // request is a checked request on its way through an entry node.
@@ -32,8 +32,10 @@
 	deadline    time.Time
 	chainID     string
 	depth       int
-	services    []string
-	allowance   retry.Allowance
+	// services lists the services on the path, this request's service last.
+	services []string
+	// pinned names the only target that may run the request.
+	pinned routing.TargetID
 	// fresh marks a client's request, as opposed to a sub-call of a chain.
 	fresh bool
 }
@@ -44,7 +46,7 @@
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
 	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 	"Content-Length": true, chainhttp.HeaderTimeout: true, chainhttp.HeaderKey: true,
-	chainhttp.HeaderRequestID: true, chainhttp.HeaderTraceParent: true, chainhttp.HeaderTraceState: true,
+	chainhttp.HeaderRequestID: true,
 }
 
 // responseHopHeaders are not copied from a target's answer.
--- /dev/null
+++ b/node/target_client.go
@@ -0,0 +1,142 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/chainhttp"
+	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/peerrpc"
+)
+
+// targetClient sends requests to the target beside the node over HTTP/1.1.
+type targetClient struct {
+	address   string
+	transport *http.Transport
+}
+
+// newTargetClient returns a client with at most the given number of
+// connections to the target.
+func newTargetClient(address string, connections int) *targetClient {
+	return &targetClient{address: address, transport: &http.Transport{
+		DialContext: (&net.Dialer{
+			Timeout: dialTimeout,
+			// Probes find a connection that the network has lost within 1.5 s.
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 1},
+		}).DialContext,
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     10 * time.Second,
+		DisableCompression:  true,
+	}}
+}
+
+func (c *targetClient) close() { c.transport.CloseIdleConnections() }
+
+// targetRequest is one request to the target.
+type targetRequest struct {
+	call     *peerrpc.CallRequest
+	token    string
+	deadline time.Time
+	// maxAnswerBytes bounds the body of the answer.
+	maxAnswerBytes int64
+}
+
+// emptyBody keeps the transport from treating a request as replayable. It
+// repeats a request with an Idempotency-Key or a safe method by itself after a
+// broken connection, which neither the allowance nor the claim would see.
+type emptyBody struct{}
+
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (emptyBody) Close() error             { return nil }
+
+// send sends a request and reads the whole answer. The error has run state
+// not-run only if nothing was written to the target.
+func (c *targetClient) send(ctx context.Context, q *targetRequest) (*peerrpc.CallResponse, *kind.Error) {
+	wrote := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+		wrote = true
+	}})
+	request, err := c.newRequest(ctx, q)
+	if err != nil {
+		return nil, kind.New(kind.Malformed, err.Error())
+	}
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		return nil, targetError(ctx, err, wrote)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, q.maxAnswerBytes+1))
+	if err != nil {
+		if failure := targetError(ctx, err, true); failure.Kind != kind.TargetCrashed {
+			return nil, failure
+		}
+		return nil, kind.Newf(kind.AnswerTruncated, "answer ended early: %v", err)
+	}
+	if int64(len(body)) > q.maxAnswerBytes {
+		return nil, kind.Newf(kind.AnswerTooLarge, "answer above %d bytes", q.maxAnswerBytes)
+	}
+	if response.StatusCode == http.StatusServiceUnavailable && kind.RunState(response.Header.Get(chainhttp.HeaderRunState)) == kind.NotRun {
+		return nil, kind.New(kind.Shed, "the target refused the request")
+	}
+	return &peerrpc.CallResponse{
+		RequestId: q.call.RequestId, Status: uint32(response.StatusCode), RunState: string(kind.Ran),
+		Headers: copyHeaders(response.Header, responseHopHeaders), Body: body,
+	}, nil
+}
+
+func (c *targetClient) newRequest(ctx context.Context, q *targetRequest) (*http.Request, error) {
+	var body io.Reader = emptyBody{}
+	if len(q.call.Body) > 0 {
+		// The wrapper hides the reader's type, so that GetBody stays unset.
+		body = struct{ io.Reader }{strings.NewReader(string(q.call.Body))}
+	}
+	request, err := http.NewRequestWithContext(ctx, q.call.Method, "http://"+c.address+q.call.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(q.call.Body))
+	request.Host = q.call.Service + "." + q.call.Customer
+	for _, h := range q.call.Headers {
+		request.Header.Add(h.Name, h.Value)
+	}
+	request.Header.Set(chainhttp.HeaderRequestID, q.call.RequestId)
+	request.Header.Set(chainhttp.HeaderTimeout, chainhttp.FormatTimeout(time.Until(q.deadline)))
+	if request.Header.Get(chainhttp.HeaderTraceParent) == "" {
+		request.Header.Set(chainhttp.HeaderTraceParent, traceParent(q.call.ChainId, q.token))
+	}
+	request.Header.Set(chainhttp.HeaderTraceState, withToken(request.Header.Get(chainhttp.HeaderTraceState), q.token))
+	if q.call.Key != "" {
+		request.Header.Set(chainhttp.HeaderKey, q.call.Key)
+	}
+	return request, nil
+}
+
+// traceParent returns a W3C traceparent for a chain ID and a token, both in
+// hexadecimal; its parent ID is the start of the token.
+func traceParent(chainID, token string) string {
+	return "00-" + chainID + "-" + token[:16] + "-01"
+}
+
+// targetError maps a transport error to a kind.
+func targetError(ctx context.Context, err error, wrote bool) *kind.Error {
+	if !wrote {
+		if ctx.Err() != nil {
+			return kind.New(kind.DeadlineExpired, "no connection to the target before the deadline").WithRun(kind.NotRun)
+		}
+		return kind.New(kind.DialFailed, err.Error())
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return kind.New(kind.DeadlineExpired, "the target did not answer before the deadline")
+	case errors.Is(ctx.Err(), context.Canceled):
+		return kind.New(kind.Canceled, "the caller left")
+	}
+	return kind.New(kind.TargetCrashed, err.Error())
+}
