--- a/configlog/class_body.go
+++ b/configlog/class_body.go
@@ -12,3 +12,18 @@
 	NonIdempotent bool           `json:"non_idempotent,omitempty"`
 	TimeoutMS     *int64         `json:"timeout_ms"`
 }
+
+// apply returns the class that b makes of the class with the same name in the
+// current policy, if there is one. Both schemas write all of today's fields; a
+// field that only a later schema writes is kept from the current class.
+func (b *ClassBody) apply(current *policy.Policy) policy.Class {
+	var c policy.Class
+	if current != nil {
+		if kept := current.Class(b.Name); kept != nil {
+			c = *kept
+		}
+	}
+	c.Name, c.Importance, c.Match = b.Name, value(b.Importance), b.Match
+	c.Retryable, c.NonIdempotent, c.Timeout = b.Retryable, b.NonIdempotent, duration(value(b.TimeoutMS))
+	return c
+}
--- a/configlog/record.go
+++ b/configlog/record.go
@@ -1,8 +1,15 @@
 package configlog
 
 import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+	"unicode"
+
+	"github.com/goldcrestsail/goldcrestsail/internal/strictjson"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/policy"
+	"github.com/google/uuid"
 )
 
 // Schemas of change records that are honoured.
@@ -28,17 +35,127 @@
 	Policy *PolicyBody
 }
 
+// recordWire is the JSON form of a Record.
+type recordWire struct {
+	Schema   int         `json:"schema"`
+	ID       string      `json:"id,omitempty"`
+	Customer string      `json:"customer"`
+	Service  string      `json:"service"`
+	Base     uint64      `json:"base"`
+	Op       string      `json:"op"`
+	Author   string      `json:"author,omitempty"`
+	Policy   *PolicyBody `json:"policy,omitempty"`
+}
+
 // Encode returns the record's canonical JSON, the form that is appended to
 // the log.
-func (r *Record) Encode() []byte { panic("not implemented") }
+func (r *Record) Encode() []byte {
+	return mustMarshal(recordWire{Schema: r.Schema, ID: r.ID, Customer: r.Name.Customer, Service: r.Name.Service,
+		Base: r.Base, Op: string(r.Op), Author: r.Author, Policy: r.Policy})
+}
+
+// mustMarshal is json.Marshal for types that always have a JSON form. It does
+// not escape HTML, which would make a snapshot up to six times as large as the
+// changes it covers.
+func mustMarshal(v any) []byte {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	if err := e.Encode(v); err != nil {
+		panic(err)
+	}
+	return bytes.TrimSuffix(b.Bytes(), []byte("\n"))
+}
+
+// DecodeRecord reads the JSON of one change. The faults list every unknown,
+// missing, repeated or mistyped field; the record is nil if there are any.
+// DecodeRecord does not check values; Check does.
+func DecodeRecord(data []byte) (*Record, []kind.FieldError) {
+	if len(data) > MaxChangeBytes {
+		return nil, []kind.FieldError{{Field: "text", Value: strconv.Itoa(len(data)) + " bytes", Allowed: "at most " + strconv.Itoa(MaxChangeBytes) + " bytes"}}
+	}
+	if !json.Valid(data) {
+		return nil, []kind.FieldError{{Field: "text", Value: clip(string(data)), Allowed: "JSON without comments"}}
+	}
+	doc, err := strictjson.Parse(data)
+	if err != nil {
+		return nil, []kind.FieldError{{Field: "text", Value: clip(err.Error()), Allowed: "JSON"}}
+	}
+	return DecodeDocument(doc)
+}
+
+// DecodeDocument is DecodeRecord for a parsed text, such as a file with
+// comments. The change ID may be missing.
+func DecodeDocument(doc *strictjson.Document) (*Record, []kind.FieldError) {
+	var w recordWire
+	if faults := doc.Decode(&w); len(faults) > 0 {
+		return nil, faults
+	}
+	return &Record{Schema: w.Schema, ID: w.ID, Name: policy.ServiceName{Customer: w.Customer, Service: w.Service},
+		Base: w.Base, Op: Op(w.Op), Author: w.Author, Policy: w.Policy}, nil
+}
 
 // Check returns all faults that can be found without the current state, each
 // with its field: fields of the record and the rules of package policy. A
 // schema 1 policy is checked as if its service were new. Fold may still reject
 // a record without faults, for its base or for schema 2 fields that it keeps.
-func (r *Record) Check() []kind.FieldError { panic("not implemented") }
+func (r *Record) Check() []kind.FieldError {
+	faults := r.checkHeader()
+	if r.Policy != nil {
+		faults = append(faults, checkPolicy(r.Policy.apply(r.Schema, r.Name, nil))...)
+	}
+	return faults
+}
 
-// DecodeRecord reads the JSON of one change. The faults list every unknown,
-// missing, repeated or mistyped field; the record is nil if there are any.
-// DecodeRecord does not check values; Check does.
-func DecodeRecord(data []byte) (*Record, []kind.FieldError) { panic("not implemented") }
+// checkHeader returns the faults outside the values of the policy.
+func (r *Record) checkHeader() []kind.FieldError {
+	var faults []kind.FieldError
+	check := func(field, value string, ok bool, allowed string) {
+		if !ok {
+			faults = append(faults, kind.FieldError{Field: field, Value: clip(value), Allowed: allowed})
+		}
+	}
+	check("schema", strconv.Itoa(r.Schema), r.Schema == Schema1 || r.Schema == Schema2, "1 or 2")
+	_, ok := parseID(r.ID)
+	check("id", r.ID, ok, "a UUID in lower case with hyphens")
+	check("customer", r.Name.Customer, policy.ValidName(r.Name.Customer), "a DNS label in lower case")
+	check("service", r.Name.Service, policy.ValidName(r.Name.Service), "a DNS label in lower case")
+	check("op", string(r.Op), r.Op == Put || r.Op == Delete, "put or delete")
+	check("author", r.Author, len(r.Author) <= MaxAuthorBytes && printable(r.Author), "at most "+strconv.Itoa(MaxAuthorBytes)+" bytes without control characters")
+	check("policy", "", r.Op != Put || r.Policy != nil, "a policy; put needs one")
+	check("policy", "present", r.Op != Delete || r.Policy == nil, "no policy for a delete")
+	if r.Schema == Schema1 && r.Policy != nil {
+		for _, field := range r.Policy.schema2Fields() {
+			check("policy."+field, "present", false, "no such field in schema 1; use schema 2")
+		}
+	}
+	return faults
+}
+
+// checkPolicy returns the faults of a policy with the field names of a record.
+func checkPolicy(p *policy.Policy) []kind.FieldError {
+	var faults []kind.FieldError
+	for _, f := range p.Validate() {
+		// checkHeader reports these two.
+		if f.Field != "customer" && f.Field != "service" {
+			f.Field, f.Value = "policy."+f.Field, clip(f.Value)
+			faults = append(faults, f)
+		}
+	}
+	return faults
+}
+
+// parseID accepts only the canonical form, so that an ID has one spelling.
+func parseID(id string) (uuid.UUID, bool) {
+	u, err := uuid.Parse(id)
+	return u, err == nil && u.String() == id
+}
+
+func printable(s string) bool {
+	for _, c := range s {
+		if unicode.IsControl(c) || c == unicode.ReplacementChar {
+			return false
+		}
+	}
+	return true
+}
--- a/configlog/result.go
+++ b/configlog/result.go
@@ -2,35 +2,45 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/policy"
 )
 
+// Bounds of the faults that a result keeps, since results are part of the
+// state. The operator commands report all faults before publishing.
+const (
+	maxResultFaults = 8
+	maxFaultBytes   = 120
+)
+
 // Result reports what folding one record did. The fields after Reason are set
 // only for records whose change could be read.
 type Result struct {
-	Offset uint64
-	// Time is when the log service appended the record.
-	Time    time.Time
-	Outcome Outcome
-	Reason  Reason
+	Offset uint64 `json:"offset"`
+	// Time is when the log service appended the record, in UTC with
+	// millisecond precision.
+	Time    time.Time `json:"time"`
+	Outcome Outcome   `json:"outcome"`
+	Reason  Reason    `json:"reason,omitempty"`
 	// Schema, ID, Name, Op and Author are copied from the change.
-	Schema int
-	ID     string
-	Name   policy.ServiceName
-	Op     Op
-	Author string
+	Schema int                `json:"schema,omitempty"`
+	ID     string             `json:"id,omitempty"`
+	Name   policy.ServiceName `json:"name"`
+	Op     Op                 `json:"op,omitempty"`
+	Author string             `json:"author,omitempty"`
 	// Base is the revision that the change was made from.
-	Base uint64
+	Base uint64 `json:"base,omitempty"`
 	// Revision is the service's revision after folding the record.
-	Revision uint64
+	Revision uint64 `json:"revision,omitempty"`
 	// First is the offset of the first record with the same change ID. Only
 	// Duplicate sets it.
-	First uint64
+	First uint64 `json:"first,omitempty"`
 	// Faults lists what is wrong, at most maxResultFaults entries.
-	Faults []kind.FieldError
+	Faults []kind.FieldError `json:"faults,omitempty"`
 }
 
 // Err returns nil unless the record was rejected. The error has kind
@@ -46,3 +56,17 @@
 	e.Fields = r.Faults
 	return e
 }
+
+func (r *Result) reject(reason Reason, faults []kind.FieldError) {
+	r.Outcome, r.Reason = Rejected, reason
+	r.Faults = slices.Clone(faults[:min(len(faults), maxResultFaults)])
+	for i := range r.Faults {
+		f := &r.Faults[i]
+		f.Field, f.Value, f.Allowed = clip(f.Field), clip(f.Value), clip(f.Allowed)
+	}
+}
+
+// clip bounds a text that is kept and makes it valid UTF-8.
+func clip(s string) string {
+	return strings.ToValidUTF8(s[:min(len(s), maxFaultBytes)], "")
+}
--- a/configlog/state.go
+++ b/configlog/state.go
@@ -5,6 +5,9 @@
 package configlog
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/goldcrestsail/goldcrestsail/policy"
@@ -28,7 +31,7 @@
 	// a snapshot within the record size of the log service.
 	MaxChangeBytes = 16 << 10
 	// MaxSnapshotBytes bounds a snapshot.
-	MaxSnapshotBytes = 8 << 20
+	MaxSnapshotBytes = 12 << 20
 	// MaxAuthorBytes bounds the author of a change.
 	MaxAuthorBytes = 128
 )
@@ -39,12 +42,13 @@
 type State struct {
 	offset   uint64
 	services map[policy.ServiceName]service
-}
-
-type service struct {
-	revision uint64
-	// policy is nil for a deleted service. It is never modified.
-	policy *policy.Policy
+	// ids is ordered by offset and pruned to the window.
+	ids []changeID
+	// results is ordered by offset.
+	results []Result
+	// covered and snapshotTime describe the newest snapshot in the log.
+	covered      uint64
+	snapshotTime time.Time
 }
 
 // NewState returns the state before the first record, at offset 0.
@@ -59,27 +63,88 @@
 func (s *State) Policy(name policy.ServiceName) *policy.Policy { return s.services[name].policy }
 
 // Policies returns all policies in force, ordered by customer and service.
-func (s *State) Policies() []*policy.Policy { panic("not implemented") }
+func (s *State) Policies() []*policy.Policy {
+	var all []*policy.Policy
+	for _, name := range s.names() {
+		if p := s.services[name].policy; p != nil {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
+// names returns the names of all services, also deleted ones, in order.
+func (s *State) names() []policy.ServiceName {
+	return slices.SortedFunc(maps.Keys(s.services), func(a, b policy.ServiceName) int {
+		if c := strings.Compare(a.Customer, b.Customer); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Service, b.Service)
+	})
+}
 
 // Revision returns the base that the next change of the service must name: 0
 // for a service never seen, and the revision of the delete for a deleted one.
 func (s *State) Revision(name policy.ServiceName) uint64 { return s.services[name].revision }
 
 // Results returns the results of recent changes, oldest first.
-func (s *State) Results() []Result { panic("not implemented") }
+func (s *State) Results() []Result { return slices.Clone(s.results) }
 
 // ResultOf returns the recent result that decided the change with the given
 // ID. It reports false for an unknown ID and for one whose result is no longer
 // kept.
-func (s *State) ResultOf(id string) (Result, bool) { panic("not implemented") }
+func (s *State) ResultOf(id string) (Result, bool) {
+	first, ok := s.Seen(id)
+	if !ok {
+		return Result{}, false
+	}
+	for _, r := range s.results {
+		if r.Offset == first {
+			return r, true
+		}
+	}
+	return Result{}, false
+}
 
 // Seen returns the offset of the first record with the change ID, if it is
 // within the window.
-func (s *State) Seen(id string) (offset uint64, ok bool) { panic("not implemented") }
+func (s *State) Seen(id string) (offset uint64, ok bool) {
+	u, ok := parseID(id)
+	if !ok {
+		return 0, false
+	}
+	for i := range s.ids {
+		if s.ids[i].id == u {
+			return s.ids[i].offset, true
+		}
+	}
+	return 0, false
+}
 
 // Snapshot returns the offset that the newest snapshot in the log covers and
 // when the log service appended it. The time is zero if none was folded.
-func (s *State) Snapshot() (covers uint64, appended time.Time) { panic("not implemented") }
+func (s *State) Snapshot() (covers uint64, appended time.Time) { return s.covered, s.snapshotTime }
 
 // Clone returns a copy that can be folded independently.
-func (s *State) Clone() *State { panic("not implemented") }
+func (s *State) Clone() *State {
+	c := *s
+	c.services, c.ids, c.results = maps.Clone(s.services), slices.Clone(s.ids), slices.Clone(s.results)
+	return &c
+}
+
+// advance moves the offset past one record and drops what leaves the window.
+func (s *State) advance() {
+	s.offset++
+	s.prune()
+}
+
+// prune depends only on the offset and the order of the records, so that a
+// state restored from a snapshot remembers the same changes.
+func (s *State) prune() {
+	for len(s.ids) > 0 && s.ids[0].offset+IDWindowOffsets <= s.offset {
+		s.ids = s.ids[1:]
+	}
+	if extra := len(s.results) - MaxResults; extra > 0 {
+		s.results = s.results[extra:]
+	}
+}
