--- /dev/null
+++ b/membership/timers.go
@@ -0,0 +1,177 @@
+package membership
+
+import (
+	"time"
+)
+
+const (
+	// housekeepingInterval is the time between expiry runs.
+	housekeepingInterval = 10 * time.Second
+	// suspicionTick is the resolution of suspicion timeouts.
+	suspicionTick = 100 * time.Millisecond
+	// lonelyProbeInterval replaces DeadProbeInterval while no other member is
+	// present.
+	lonelyProbeInterval = time.Second
+	// pauseThreshold is how late a timer must run for the node to take it for
+	// a pause of its process.
+	pauseThreshold = time.Second
+)
+
+// NextTick returns when the node next needs a Tick.
+func (n *Node) NextTick() time.Time {
+	next := n.nextHousekeeping
+	earlier := func(t time.Time) {
+		if t.Before(next) {
+			next = t
+		}
+	}
+	earlier(n.nextProbe)
+	earlier(n.nextSync)
+	earlier(n.nextDeadProbe)
+	if n.roundPending() || n.leaving {
+		earlier(n.nextUrgent)
+	}
+	for _, p := range n.probes {
+		earlier(p.next)
+	}
+	for _, r := range n.relays {
+		earlier(r.deadline)
+	}
+	if len(n.suspects) > 0 {
+		earlier(n.now.Add(suspicionTick))
+	}
+	return next
+}
+
+func (n *Node) roundPending() bool {
+	return n.queues[urgent].size > 0 || n.offsetSends > 0 ||
+		n.queues[prompt].size > 0 && n.budget.above(roundShares[prompt]) > n.cfg.MaxDatagramBytes
+}
+
+// notePause tells a pause of this process from silence of the others: what was
+// due during the pause says nothing about them.
+func (n *Node) notePause(now time.Time) {
+	late := now.Sub(n.NextTick())
+	if late < pauseThreshold {
+		return
+	}
+	n.stats.Pauses++
+	n.probes = n.probes[:0]
+	n.relays = n.relays[:0]
+	for _, e := range n.suspects {
+		e.suspicion.start = e.suspicion.start.Add(late)
+	}
+	n.nextSync = now
+}
+
+func due(t, now time.Time) bool { return !t.After(now) }
+
+func (n *Node) runTimers() {
+	n.finishProbes()
+	n.expireRelays()
+	for i := len(n.suspects) - 1; i >= 0; i-- {
+		if e := n.suspects[i]; due(e.suspicion.deadline(), n.now) {
+			n.declareDead(e)
+			n.emit(MemberChanged{e.Member})
+		}
+	}
+	if due(n.nextProbe, n.now) {
+		n.nextProbe = n.now.Add(n.cfg.ProbeInterval * time.Duration(1+n.health))
+		if !n.leaving {
+			n.startProbe()
+		}
+	}
+	if due(n.nextUrgent, n.now) && (n.roundPending() || n.leaving) {
+		n.nextUrgent = n.now.Add(n.cfg.UrgentInterval)
+		n.round()
+	}
+	if due(n.nextSync, n.now) {
+		n.nextSync = n.now.Add(n.jitter(n.cfg.SyncInterval))
+		if !n.leaving {
+			n.startSync()
+		}
+	}
+	if due(n.nextDeadProbe, n.now) {
+		interval := n.cfg.DeadProbeInterval
+		if len(n.present) == 0 {
+			interval = lonelyProbeInterval
+		}
+		n.nextDeadProbe = n.now.Add(n.jitter(interval))
+		if !n.leaving {
+			n.probeGone()
+		}
+	}
+	if due(n.nextHousekeeping, n.now) {
+		n.nextHousekeeping = n.now.Add(housekeepingInterval)
+		n.expireMessages()
+		for i := len(n.gone) - 1; i >= 0; i-- {
+			if e := n.gone[i]; n.now.Sub(e.changedAt) >= n.cfg.DeadRetention {
+				n.remove(e)
+			}
+		}
+	}
+}
+
+// round sends queued updates to a few random members (SWIM piggybacks only; the
+// rounds bound the time that urgent updates take).
+func (n *Node) round() {
+	if n.leaving && (!n.self.rumor.queued || len(n.present) == 0) {
+		n.stopped = true
+		n.emit(LeaveComplete{})
+		return
+	}
+	for _, peer := range n.randomPeers(n.cfg.UrgentFanout, nil) {
+		b := n.noBody()
+		n.fill(b, roundShares)
+		if len(b.msg.Updates)+len(b.msg.Broadcasts) == 0 {
+			if n.offsetSends <= 0 || n.budget.above(0) < b.size+PacketOverheadBytes {
+				if n.queues[urgent].size > 0 {
+					n.stats.Deferred++
+				}
+				return
+			}
+		}
+		if n.offsetSends > 0 {
+			n.offsetSends--
+		}
+		n.send(peer.Addr, b)
+	}
+}
+
+// probeGone pings a member believed dead, or a seed that is not a member, so
+// that the two sides of a healed partition find each other. It is also how a
+// new node joins.
+func (n *Node) probeGone() {
+	if len(n.present) == 0 {
+		for range min(3, len(n.cfg.Seeds)) {
+			n.probeSeed()
+		}
+	}
+	var dead []*entry
+	for tries := 0; tries < 8 && len(n.gone) > 0 && len(dead) == 0; tries++ {
+		if e := n.gone[n.rng.IntN(len(n.gone))]; e.State == Dead && n.byAddr[e.Addr] == nil {
+			dead = append(dead, e)
+		}
+	}
+	if !n.mayAfford(200, 0) {
+		return
+	}
+	if len(dead) > 0 {
+		n.seq++
+		n.ping(dead[0].Addr, dead[0], n.seq)
+	} else if len(n.present) > 0 {
+		n.probeSeed()
+	}
+}
+
+func (n *Node) probeSeed() {
+	if len(n.cfg.Seeds) == 0 {
+		return
+	}
+	addr := unmapAddrPort(n.cfg.Seeds[n.rng.IntN(len(n.cfg.Seeds))])
+	if addr == n.self.Addr || n.byAddr[addr] != nil {
+		return
+	}
+	n.seq++
+	n.ping(addr, nil, n.seq)
+}
--- a/membership/validate.go
+++ b/membership/validate.go
@@ -16,3 +16,8 @@
 	return validName(m.Customer) && validName(m.Service) && validName(m.FailureDomain) &&
 		validName(m.Region) && m.TargetState <= Down && m.Slots <= MaxSlots
 }
+
+func validBroadcast(b Broadcast) bool {
+	return b.Kind != 0 && b.ID != "" && len(b.ID) <= MaxBroadcastIDBytes && utf8.ValidString(b.ID) &&
+		len(b.Payload) <= MaxBroadcastPayloadBytes
+}
