--- a/routing/result.go
+++ b/routing/result.go
@@ -8,8 +8,9 @@
 
 // Result is the outcome of one call, as the calling node saw it.
 type Result struct {
-	// Latency is the time from Start to the response. Only the latency of
-	// responses of the target itself enters the average.
+	// Latency is the time from Start to the response, or to the time at which
+	// the caller gave up. Only the latency of responses of the target itself
+	// enters the average.
 	Latency time.Duration
 	// Load is the load reported with the response, or nil when no response
 	// arrived.
--- a/routing/table.go
+++ b/routing/table.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/kind"
 )
 
 // Table holds one node's view of the targets of one service. It is not safe
@@ -104,7 +106,13 @@
 	if r.Load != nil || r.Kind == "" {
 		g.quietSince, g.unanswered = now, 0
 	}
-	switch judge(&r) {
+	v := judge(&r)
+	if r.Kind == kind.DeadlineExpired && v == failure && g.quietSince.After(now.Add(-r.Latency)) {
+		// Something came back since the call began: the target is slow, and
+		// ejecting it would move its load to others that are slow as well.
+		v = refusal
+	}
+	switch v {
 	case success:
 		g.failures = 0
 		t.learnLatency(g, now, r.Latency)
