--- /dev/null
+++ b/internal/demo/naive.go
@@ -0,0 +1,167 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/internal/naive"
+	"github.com/goldcrestsail/goldcrestsail/internal/standin/target"
+)
+
+// naiveSystem carries calls by round robin with three retries at every hop.
+type naiveSystem struct {
+	all     []*target.Target
+	proxies []*naiveProxy
+}
+
+// naiveProxy is the naive counterpart of a node.
+type naiveProxy struct {
+	server   *http.Server
+	listener net.Listener
+	client   *http.Client
+	mu       sync.Mutex
+	turns    map[string]*naive.RoundRobin
+	// addresses of the targets by service; set before the load starts.
+	addresses map[string][]string
+}
+
+func startNaive(d *deployment, ledger *target.Ledger, seed uint64) (system, error) {
+	s := &naiveSystem{}
+	addresses := map[string][]string{}
+	for i, svc := range d.services {
+		for j := range svc.targets {
+			p, err := newNaiveProxy(addresses)
+			if err != nil {
+				s.stop()
+				return nil, err
+			}
+			s.proxies = append(s.proxies, p)
+			t := target.New(d.targetConfig(&d.services[i], p.listener.Addr().String(), ledger, seed+uint64(100*i+j)))
+			if err := t.Start(); err != nil {
+				s.stop()
+				return nil, err
+			}
+			s.all = append(s.all, t)
+			name := svc.name + "." + d.customer
+			addresses[name] = append(addresses[name], t.Address())
+		}
+	}
+	for _, p := range s.proxies {
+		go p.server.Serve(p.listener)
+	}
+	return s, nil
+}
+
+func newNaiveProxy(addresses map[string][]string) (*naiveProxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &naiveProxy{
+		listener: listener, addresses: addresses, turns: map[string]*naive.RoundRobin{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 5 * time.Second}},
+	}
+	p.server = &http.Server{Handler: p}
+	return p, nil
+}
+
+// ServeHTTP forwards a request, and again after a failure, up to the retries
+// of the naive rules.
+func (p *naiveProxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/announce" {
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	for retries := 0; ; retries++ {
+		status, header, answer := p.forward(r, body)
+		if r.Context().Err() != nil {
+			return
+		}
+		if naive.Retry(retries, status) {
+			continue
+		}
+		if status == 0 {
+			http.Error(w, "no answer", http.StatusBadGateway)
+			return
+		}
+		for name, values := range header {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(status)
+		w.Write(answer)
+		return
+	}
+}
+
+// forward sends a request once. The status is 0 when no answer arrived.
+func (p *naiveProxy) forward(r *http.Request, body []byte) (int, http.Header, []byte) {
+	addresses := p.addresses[r.Host]
+	p.mu.Lock()
+	turn := p.turns[r.Host]
+	if turn == nil {
+		turn = &naive.RoundRobin{}
+		p.turns[r.Host] = turn
+	}
+	next := turn.Next(len(addresses), func(int) bool { return true })
+	p.mu.Unlock()
+	if next < 0 {
+		return 0, nil, nil
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), naive.HopTimeout)
+	defer cancel()
+	out, err := http.NewRequestWithContext(ctx, r.Method, "http://"+addresses[next]+r.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, nil
+	}
+	out.Host = r.Host
+	out.Header = r.Header.Clone()
+	out.Header.Del("Connection")
+	response, err := p.client.Do(out)
+	if err != nil {
+		return 0, nil, nil
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil, nil
+	}
+	response.Header.Del("Content-Length")
+	return response.StatusCode, response.Header, answer
+}
+
+func (s *naiveSystem) entries() []string {
+	var all []string
+	for _, p := range s.proxies {
+		all = append(all, p.listener.Addr().String())
+	}
+	return all
+}
+
+func (s *naiveSystem) targets() []*target.Target { return s.all }
+
+func (s *naiveSystem) stop() {
+	for _, p := range s.proxies {
+		p.server.Close()
+		p.client.CloseIdleConnections()
+	}
+	for _, t := range s.all {
+		t.Stop()
+	}
+}
+
+// targetConfig returns the configuration of one target of a service.
+func (d *deployment) targetConfig(s *service, node string, ledger *target.Ledger, seed uint64) target.Config {
+	return target.Config{
+		Customer: d.customer, Service: s.name, Address: "127.0.0.1:0", Node: node, Slots: s.slots,
+		Backlog: s.connections, ServiceTime: s.serviceTime, Calls: s.calls, Effects: ledger, Seed: seed,
+	}
+}
+
--- /dev/null
+++ b/internal/demo/options.go
@@ -0,0 +1,44 @@
+package demo
+
+import (
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/kind"
+)
+
+// Options choose what the demo runs.
+type Options struct {
+	// Deployment is qureshi or takstolshuset.
+	Deployment string
+	// Duration is the length of each of the two runs.
+	Duration time.Duration
+	Seed     uint64
+	// Progress receives one line per second; nil shows nothing.
+	Progress func(string)
+}
+
+// The phases of a run as shares of its duration: steady load, overload, and
+// the time after the trigger has gone.
+const (
+	beforeShare   = 0.25
+	overloadShare = 0.4
+)
+
+// DefaultDuration keeps both runs under a minute.
+const DefaultDuration = 24 * time.Second
+
+// minDuration leaves each phase a few windows of goodput.
+const minDuration = 8 * time.Second
+
+func (o *Options) check() (*deployment, error) {
+	d := deployments[o.Deployment]
+	if d == nil {
+		return nil, &kind.Error{Kind: kind.SettingsInvalid, Run: kind.NotRun, Fields: []kind.FieldError{
+			{Field: "deployment", Value: o.Deployment, Allowed: "qureshi or takstolshuset"}}}
+	}
+	if o.Duration < minDuration {
+		return nil, &kind.Error{Kind: kind.SettingsInvalid, Run: kind.NotRun, Fields: []kind.FieldError{
+			{Field: "duration", Value: o.Duration.String(), Allowed: "at least " + minDuration.String()}}}
+	}
+	return d, nil
+}
--- a/node/node.go
+++ b/node/node.go
@@ -185,3 +185,12 @@
 		s.http.Close()
 	}
 }
+
+// ReadyTargets returns how many targets this node could send work to, its own
+// included, if its configuration names at least one service.
+func (n *Node) ReadyTargets() int {
+	if len(n.configState().Policies()) == 0 {
+		return 0
+	}
+	return n.router.ready(time.Now())
+}
--- a/node/router.go
+++ b/node/router.go
@@ -143,3 +143,14 @@
 	}
 	return result
 }
+
+// ready returns the number of targets that may get new work.
+func (r *router) ready(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	total := 0
+	for _, t := range r.tables {
+		total += t.Usable(now)
+	}
+	return total
+}
