Add the log service client, group commit and the stand-in log service

Cause: configuration and claims live in the platform's log service. One request per claim would exceed its append rate, and an endless or silent response must not hold a node.

Seen: go test -count=30 ./logservice ./internal/standin/... and -race -count=3 pass.

The stand-in's tests run on an injected clock, directly and over HTTP.

--- /dev/null
+++ b/internal/standin/logstore/store.go
@@ -0,0 +1,223 @@
+// Package logstore is a stand-in for the platform's log service. It keeps
+// records in memory, limits the append rate, drops records by age, and shows
+// faults on request: outage, slowness, and answers lost after the append took
+// effect. A Store is a logservice.Client, and Handler serves it over HTTP.
+package logstore
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/logservice"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// maxBatchBytes keeps a batch below the response bound of the client.
+	maxBatchBytes = 4 << 20
+	// maxStreams bounds the memory that stream names can take.
+	maxStreams = 4096
+	// burstSeconds is the burst of the append rate limit.
+	burstSeconds = 0.1
+)
+
+var (
+	errOutage     = errors.New("the log service is down")
+	errAnswerLost = errors.New("the answer was lost")
+	errStreams    = errors.New("too many streams")
+)
+
+// Store holds all streams. It is safe for concurrent use.
+type Store struct {
+	now       func() time.Time
+	retention time.Duration
+
+	mu      sync.Mutex
+	limit   *rate.Limiter
+	streams map[string]*stream
+	faults  Faults
+	last    time.Time
+	// changed is closed and replaced when waiting reads must look again.
+	changed chan struct{}
+}
+
+var _ logservice.Client = (*Store)(nil)
+
+// New returns an empty Store.
+func New(o Options) *Store {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Retention <= 0 {
+		o.Retention = DefaultRetention
+	}
+	if o.AppendRate <= 0 {
+		o.AppendRate = DefaultAppendRate
+	}
+	return &Store{now: o.Now, retention: o.Retention, streams: map[string]*stream{}, changed: make(chan struct{}),
+		limit: rate.NewLimiter(rate.Limit(o.AppendRate), max(1, int(o.AppendRate*burstSeconds)))}
+}
+
+// SetFaults replaces all faults.
+func (s *Store) SetFaults(f Faults) { s.change(func(v *Faults) { *v = f }) }
+
+// SetOutage starts or ends an outage. Waiting reads fail at once.
+func (s *Store) SetOutage(down bool) { s.change(func(f *Faults) { f.Outage = down }) }
+
+// SetDelay delays every later request.
+func (s *Store) SetDelay(d time.Duration) { s.change(func(f *Faults) { f.DelayMS = d.Milliseconds() }) }
+
+// LoseAnswers makes the next n appends take effect without an answer; a
+// negative n stands for all.
+func (s *Store) LoseAnswers(n int) { s.change(func(f *Faults) { f.LoseAnswers = n }) }
+
+// Faults returns the current faults.
+func (s *Store) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+func (s *Store) change(f func(*Faults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(&s.faults)
+	s.wake()
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Counters returns the counters of all streams that were used.
+func (s *Store) Counters() map[string]Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := map[string]Counters{}
+	for name, v := range maps.All(s.streams) {
+		all[name] = v.counters
+	}
+	return all
+}
+
+// Append implements logservice.Client.
+func (s *Store) Append(ctx context.Context, name string, data ...[]byte) (uint64, error) {
+	if err := logservice.CheckAppend(name, data); err != nil {
+		return 0, err
+	}
+	if err := s.delay(ctx); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v, err := s.stream(name)
+	if err != nil {
+		return 0, err
+	}
+	now := s.tick()
+	if !s.limit.AllowN(now, 1) {
+		v.counters.Refused++
+		return 0, logservice.RateExceeded(0)
+	}
+	v.expire(now.Add(-s.retention))
+	first := v.next
+	for _, d := range data {
+		v.records = append(v.records, logservice.Record{Offset: v.next, Time: now, Data: slices.Clone(d)})
+		v.next++
+	}
+	v.counters.Appends++
+	v.counters.Records += uint64(len(data))
+	s.wake()
+	if s.faults.LoseAnswers != 0 {
+		s.faults.LoseAnswers = max(s.faults.LoseAnswers-1, -1)
+		v.counters.AnswersLost++
+		return 0, logservice.Unavailable(kind.MayHaveRun, errAnswerLost)
+	}
+	return first, nil
+}
+
+// Read implements logservice.Client.
+func (s *Store) Read(ctx context.Context, name string, from uint64, most int, wait time.Duration) (logservice.Batch, error) {
+	if err := s.delay(ctx); err != nil {
+		return logservice.Batch{}, err
+	}
+	timer := time.NewTimer(min(wait, logservice.MaxReadWait))
+	defer timer.Stop()
+	for over := wait <= 0; ; {
+		b, changed, err := s.readNow(name, from, min(max(most, 1), logservice.MaxReadRecords), over)
+		if err != nil || changed == nil {
+			return b, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-ctx.Done():
+			return logservice.Batch{}, logservice.Unavailable(kind.NotRun, ctx.Err())
+		}
+	}
+}
+
+// readNow returns a batch, or the channel to wait for if there is no record
+// yet and the wait is not over.
+func (s *Store) readNow(name string, from uint64, most int, over bool) (logservice.Batch, chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v, err := s.stream(name)
+	if err != nil {
+		return logservice.Batch{}, nil, err
+	}
+	v.expire(s.tick().Add(-s.retention))
+	b := v.read(from, most)
+	if len(b.Records) == 0 && !over {
+		return b, s.changed, nil
+	}
+	v.counters.Reads++
+	return b, nil, nil
+}
+
+// stream returns the stream, or an error during an outage.
+func (s *Store) stream(name string) (*stream, error) {
+	v := s.streams[name]
+	if v == nil {
+		if len(s.streams) >= maxStreams || !logservice.ValidStream(name) {
+			return nil, logservice.Unavailable(kind.NotRun, errStreams)
+		}
+		v = &stream{}
+		s.streams[name] = v
+	}
+	if s.faults.Outage {
+		v.counters.Refused++
+		return nil, logservice.Unavailable(kind.MayHaveRun, errOutage)
+	}
+	return v, nil
+}
+
+// tick returns the time of the log service, which never goes back.
+func (s *Store) tick() time.Time {
+	if now := s.now().UTC().Truncate(time.Millisecond); now.After(s.last) {
+		s.last = now
+	}
+	return s.last
+}
+
+func (s *Store) delay(ctx context.Context) error {
+	d := time.Duration(s.Faults().DelayMS) * time.Millisecond
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return logservice.Unavailable(kind.NotRun, ctx.Err())
+	}
+}
