Test the admission queue and its level, refuse a start that cannot wait

Cause: a request whose latest start was the moment of its arrival was queued although it could only expire.

--- /dev/null
+++ b/admission/bench_test.go
@@ -0,0 +1,81 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var sizes = []int{16, 256, 4096, 65536}
+
+// filled returns a queue with n waiting requests spread over all ranks, and
+// nothing running.
+func filled(n int) *Queue {
+	q := NewQueue(Config{MaxWaiting: n, QueueTimeout: time.Hour}, 0, epoch)
+	for id := range ID(n) {
+		q.Offer(epoch, Request{ID: id + 1, Rank: rankOf(id)})
+	}
+	return q
+}
+
+func rankOf(id ID) Rank { return MinRank + Rank(uint64(id)*2654435761%uint64(MaxRank)) }
+
+func BenchmarkAdmitAndRelease(b *testing.B) {
+	q := NewQueue(Config{}, 1, epoch)
+	b.ReportAllocs()
+	for i := range b.N {
+		q.Offer(epoch, Request{ID: ID(i), Rank: MinRank})
+		q.Release(epoch, ID(i))
+	}
+}
+
+// One request arrives and displaces another in a full queue.
+func BenchmarkOfferToFullQueue(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			q := filled(n)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				id := ID(n + i + 1)
+				q.Offer(epoch, Request{ID: id, Rank: rankOf(id)})
+			}
+		})
+	}
+}
+
+// One request arrives, the next one starts, and one ends.
+func BenchmarkOfferAndRelease(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			q := filled(n)
+			q.Configure(epoch, Config{MaxWaiting: n + 1, QueueTimeout: time.Hour})
+			running := q.SetLimit(epoch, 1)[0].ID
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				id := ID(n + i + 1)
+				q.Offer(epoch, Request{ID: id, Rank: rankOf(id)})
+				running = q.Release(epoch, running)[0].ID
+			}
+		})
+	}
+}
+
+// One call per interval ends the interval and derives the level.
+func BenchmarkLevelPerInterval(b *testing.B) {
+	q := filled(256)
+	b.ReportAllocs()
+	for i := range b.N {
+		q.level.refused(rankOf(ID(i)))
+		q.Level(epoch.Add(time.Duration(i) * LevelInterval))
+	}
+}
+
+func BenchmarkLevelWithinInterval(b *testing.B) {
+	q := filled(256)
+	b.ReportAllocs()
+	for range b.N {
+		q.Level(epoch)
+	}
+}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -77,6 +77,11 @@
 		q.admit(now, w)
 		return q.finish(now)
 	}
+	if !w.expires.After(now) {
+		// It could have started at this moment only.
+		q.refuse(now, w, w.cause)
+		return q.finish(now)
+	}
 	if len(q.waiting) >= q.config.MaxWaiting {
 		worst := q.worst(now)
 		// Within a rank the arrival is the newest, which goes first only under a
