--- a/internal/demo/naive.go
+++ b/internal/demo/naive.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/goldcrestsail/goldcrestsail/chainhttp"
 	"github.com/goldcrestsail/goldcrestsail/internal/naive"
 	"github.com/goldcrestsail/goldcrestsail/internal/standin/target"
 )
@@ -124,6 +125,8 @@
 	out.Host = r.Host
 	out.Header = r.Header.Clone()
 	out.Header.Del("Connection")
+	// The naive version knows no deadlines beyond its own hop.
+	out.Header.Del(chainhttp.HeaderTimeout)
 	response, err := p.client.Do(out)
 	if err != nil {
 		return 0, nil, nil
--- a/internal/standin/target/handler.go
+++ b/internal/standin/target/handler.go
@@ -56,6 +56,8 @@
 	select {
 	case slots <- struct{}{}:
 	case <-r.Context().Done():
+		w.Header().Set(chainhttp.HeaderRunState, "not-run")
+		http.Error(w, "deadline passed before a slot was free", http.StatusServiceUnavailable)
 		return
 	}
 	defer func() { <-slots }()
@@ -67,6 +69,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if !sleep(r, t.serviceTime(started)) {
+		http.Error(w, "deadline passed", http.StatusGatewayTimeout)
 		return
 	}
 	calls, status := t.callOthers(r)
