--- /dev/null
+++ b/internal/replay/engine.go
@@ -0,0 +1,53 @@
+package replay
+
+import (
+	"container/heap"
+	"time"
+)
+
+// start is the virtual time at which every trace begins.
+var start = time.Unix(1_700_000_000, 0)
+
+// engine runs functions in the order of virtual time; functions for the same
+// time run in the order in which they were added.
+type engine struct {
+	now   time.Time
+	queue timers
+	added uint64
+}
+
+// timer is one scheduled function.
+type timer struct {
+	at    time.Time
+	order uint64
+	run   func()
+}
+
+func (e *engine) after(d time.Duration, run func()) *timer {
+	e.added++
+	t := &timer{e.now.Add(d), e.added, run}
+	heap.Push(&e.queue, t)
+	return t
+}
+
+// stop keeps the function from running. It accepts nil.
+func (t *timer) stop() {
+	if t != nil {
+		t.run = nil
+	}
+}
+
+// runUntil runs everything that is due up to the given time.
+func (e *engine) runUntil(end time.Time) {
+	for len(e.queue) > 0 && !e.queue[0].at.After(end) {
+		t := heap.Pop(&e.queue).(*timer)
+		e.now = t.at
+		if t.run != nil {
+			t.run()
+		}
+	}
+	e.now = end
+}
+
+// ms returns a number of milliseconds as a duration.
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/replay/request.go
@@ -0,0 +1,39 @@
+package replay
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/chain"
+)
+
+// request is what a client wants once, whatever number of attempts it takes.
+type request struct {
+	id       uint64
+	op       *Operation
+	at       time.Duration
+	key      string
+	deadline time.Time
+
+	answeredAt time.Time
+	attempts   int
+	// refused holds the kind of the last refusal.
+	refused string
+	entry   *target
+	// issuer is the target whose node issued the key, or nil.
+	issuer *target
+}
+
+// body is the content of the complete response to an operation of a request.
+func (r *request) body(op *Operation) uint64 {
+	return r.id*0x9e3779b97f4a7c15 + uint64(op.index) + 1
+}
+
+// fingerprint identifies requests with the same content.
+func (r *request) fingerprint() uint64 {
+	path := r.op.Path
+	if !r.op.Crash {
+		path += "?" + r.key + strconv.FormatUint(r.id, 10)
+	}
+	return chain.Fingerprint(r.op.Method, r.op.Service, path, "", 0)
+}
