Add the call contract page and the commands dump, drain, replay and demo

Cause: callers need one page that says what each response means, tested against the table in package kind.

--- a/cmd/goldcrestsail/main.go
+++ b/cmd/goldcrestsail/main.go
@@ -1,6 +1,68 @@
-// Command goldcrestsail runs a node and the operator's commands.
+// Command goldcrestsail runs a node beside a target instance, and holds the
+// operator's commands.
 package main
 
-import "os"
+import (
+	"errors"
+	"fmt"
+	"os"
 
-func main() { os.Exit(0) }
+	"github.com/integrii/flaggy"
+)
+
+// version is the version of the program.
+const version = "0.1.0"
+
+// Exit codes of all commands.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// command is one subcommand. Its flags are attached to sub.
+type command struct {
+	sub *flaggy.Subcommand
+	run func() int
+}
+
+// errUsage marks an error in how a command was called.
+var errUsage = errors.New("wrong usage")
+
+func main() { os.Exit(run()) }
+
+// run parses the command line and runs the command that it names.
+func run() int {
+	parser := flaggy.NewParser("goldcrestsail")
+	parser.Description = "Overload control for service call graphs."
+	parser.Version = version
+	parser.ShowHelpOnUnexpected = false
+	commands := []*command{newNodeCommand(), newDumpCommand(), newDrainCommand(), newReplayCommand(), newDemoCommand()}
+	for _, c := range commands {
+		parser.AttachSubcommand(c.sub, 1)
+	}
+	if err := parser.Parse(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if len(parser.TrailingArguments) > 0 {
+		fmt.Fprintf(os.Stderr, "unexpected argument %q\n", parser.TrailingArguments[0])
+		return exitUsage
+	}
+	for _, c := range commands {
+		if c.sub.Used {
+			return c.run()
+		}
+	}
+	parser.ShowHelp()
+	return exitUsage
+}
+
+// fail prints an error and returns the exit code for it.
+func fail(err error) int {
+	fmt.Fprintln(os.Stderr, err)
+	if errors.Is(err, errUsage) {
+		return exitUsage
+	}
+	return exitFailure
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -20,7 +20,7 @@
 
 func main() {
 	log := hclog.New(&hclog.LoggerOptions{Name: "standin", Output: os.Stderr, JSONFormat: true})
-	commands := []*command{newLogCommand()}
+	commands := []*command{newLogCommand(), newTargetCommand()}
 	flaggy.SetName("standin")
 	flaggy.SetDescription("Stand-ins for the platform, for tests and training.")
 	for _, c := range commands {
--- /dev/null
+++ b/cmd/standin/target.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/integrii/flaggy"
+
+	"github.com/goldcrestsail/goldcrestsail/internal/standin/target"
+	"github.com/goldcrestsail/goldcrestsail/policy"
+)
+
+// crashExitCode is the exit code of a target that a request has crashed.
+const crashExitCode = 3
+
+// newTargetCommand returns the command "target", a customer's target with
+// slots, a service time and sub-calls.
+func newTargetCommand() *command {
+	config := target.Config{Address: "127.0.0.1:0", Slots: 10, ServiceTime: 20 * time.Millisecond, Exit: func() { os.Exit(crashExitCode) }}
+	var service string
+	var calls []string
+	sub := flaggy.NewSubcommand("target")
+	sub.Description = "Run a target that announces itself to the node beside it."
+	sub.String(&service, "", "service", "Service as SERVICE.CUSTOMER.")
+	sub.String(&config.Address, "", "listen", "Address to listen on.")
+	sub.String(&config.Node, "", "node", "Target-side address of the node beside the target.")
+	sub.Int(&config.Slots, "", "slots", "Requests served at once.")
+	sub.Duration(&config.ServiceTime, "", "service-time", "Mean time that a request takes.")
+	sub.String(&config.CrashPath, "", "crash-path", "Path prefix whose requests crash the process.")
+	sub.StringSlice(&calls, "", "call", "Sub-call of each request, as SERVICE.CUSTOMER/PATH.")
+	return &command{sub: sub, run: func(ctx context.Context, log hclog.Logger) error {
+		name, err := policy.ParseServiceName(service)
+		if err != nil {
+			return err
+		}
+		config.Customer, config.Service = name.Customer, name.Service
+		for _, c := range calls {
+			callee, path, _ := strings.Cut(c, "/")
+			config.Calls = append(config.Calls, target.SubCall{Service: callee, Path: "/" + path})
+		}
+		t := target.New(config)
+		if err := t.Start(); err != nil {
+			return err
+		}
+		log.Info("listening", "address", t.Address(), "service", service)
+		<-ctx.Done()
+		// The node beside the target needs to hear of the drain before the
+		// target is gone.
+		t.SetDraining(true)
+		time.Sleep(2 * time.Second)
+		t.Stop()
+		return nil
+	}}
+}
--- a/kind/kind_test.go
+++ b/kind/kind_test.go
@@ -30,3 +30,10 @@
 	require.Equal(t, NotRun, Of(err).Run)
 	require.Nil(t, Of(nil))
 }
+
+// Guards against a page that tells callers something else than the system does.
+func TestContractPageShowsTheTable(t *testing.T) {
+	page, err := os.ReadFile("../docs/call-contract.md")
+	require.NoError(t, err)
+	require.Contains(t, string(page), "<!-- kinds -->\n"+Markdown()+"<!-- /kinds -->")
+}
