Add configsync, which keeps a node's configuration up to date

Cause: a node must have the configuration in force although the log service is down for long, its records expire, and 1,400 nodes cannot all follow the log.

Conclusion: followers read by long polling, the others poll every minute with jitter or on ReadNow, and take the state of a peer by Encode and Adopt.

--- /dev/null
+++ b/configsync/runner.go
@@ -0,0 +1,333 @@
+// Package configsync keeps the configuration of one node up to date. It folds
+// the config stream, adopts newer states from peers and writes snapshots.
+package configsync
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/configlog"
+	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/logservice"
+)
+
+// Runner holds the configuration of a node. All methods are safe for
+// concurrent use; Run must be called once.
+type Runner struct {
+	options Options
+	state   atomic.Pointer[configlog.State]
+	wake    chan struct{}
+
+	mu          sync.Mutex
+	status      Status
+	subscribers map[chan uint64]struct{}
+	// gapAt and scanned are set while Status.Gap: the state's offset, and the
+	// next offset to search for a snapshot.
+	gapAt, scanned uint64
+
+	// The fields below belong to the goroutine of Run.
+
+	rand     *rand.Rand
+	failures int
+	// caughtUp reports that the state reflects the log up to now.
+	caughtUp bool
+	// unseenSince is when the Runner first missed any snapshot in the log.
+	unseenSince time.Time
+	// noSnapshotBefore delays the next try after a failed one.
+	noSnapshotBefore time.Time
+}
+
+// New returns a Runner with the empty state.
+func New(o Options) *Runner {
+	o.setDefaults()
+	r := &Runner{options: o, rand: o.Rand, wake: make(chan struct{}, 1), subscribers: map[chan uint64]struct{}{}}
+	r.status.Following = o.Following
+	r.state.Store(configlog.NewState())
+	return r
+}
+
+// State returns the current state, which must not be folded further. It is
+// never nil and its offset never goes back.
+func (r *Runner) State() *configlog.State { return r.state.Load() }
+
+// Status returns the current status.
+func (r *Runner) Status() Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.status
+	s.Offset = r.State().Offset()
+	s.Gap = r.inGap()
+	return s
+}
+
+// SetFollowing makes the node a follower, which reads the log by long polling,
+// or one that polls it rarely.
+func (r *Runner) SetFollowing(following bool) {
+	r.mu.Lock()
+	changed := r.status.Following != following
+	r.status.Following = following
+	r.mu.Unlock()
+	if changed {
+		r.ReadNow()
+	}
+}
+
+// ReadNow ends the pause between two reads of a node that polls the log, for
+// use when peers know a newer offset but cannot be asked. It does not shorten
+// the back-off after a failure.
+func (r *Runner) ReadNow() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Subscribe returns a channel that receives the offset of every new state. A
+// slow receiver gets only the newest. cancel ends the subscription.
+func (r *Runner) Subscribe() (offsets <-chan uint64, cancel func()) {
+	c := make(chan uint64, 1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.subscribers[c] = struct{}{}
+	return c, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.subscribers, c)
+	}
+}
+
+// Encode returns the data for Adopt at a peer that has folded up to have, or
+// nil if the peer is up to date.
+func (r *Runner) Encode(have uint64) []byte {
+	s := r.State()
+	switch {
+	case s.Offset() <= have:
+		return nil
+	case have == 0:
+		return configlog.EncodeSnapshot(s)
+	}
+	return configlog.EncodeDelta(s, have)
+}
+
+// Adopt takes the state of a peer, made by Encode, if its offset is higher
+// than that of the current state. Empty data, the response of a peer that knows
+// nothing newer, changes nothing. The error has kind malformed.
+func (r *Runner) Adopt(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current := r.State()
+	next, err := configlog.Adopt(current, data)
+	if err != nil {
+		return err
+	}
+	if next != current {
+		r.status.Adopted++
+		r.publish(next)
+	}
+	return nil
+}
+
+// publish replaces the state and tells the subscribers. r.mu is held.
+func (r *Runner) publish(s *configlog.State) {
+	r.state.Store(s)
+	for c := range r.subscribers {
+		select {
+		case <-c:
+		default:
+		}
+		c <- s.Offset()
+	}
+}
+
+// inGap reports whether records after the state are missing. r.mu is held.
+func (r *Runner) inGap() bool { return r.status.Gap && r.gapAt == r.State().Offset() }
+
+// Run reads the log until ctx ends, and returns the error of ctx.
+func (r *Runner) Run(ctx context.Context) error {
+	if !r.following() {
+		r.sleep(ctx, time.Duration(r.rand.Int64N(int64(startJitter))), r.wake)
+	}
+	for ctx.Err() == nil {
+		r.step(ctx)
+	}
+	return ctx.Err()
+}
+
+func (r *Runner) following() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.status.Following
+}
+
+// step does one read, and the pause after it.
+func (r *Runner) step(ctx context.Context) {
+	following := r.following()
+	wait := time.Duration(0)
+	if following {
+		wait = r.options.longPoll()
+	}
+	batch, err := r.options.Client.Read(ctx, configlog.Stream, r.from(), batchRecords, wait)
+	if ctx.Err() != nil {
+		return
+	}
+	r.record(err)
+	if err != nil {
+		r.caughtUp = false
+		r.failures++
+		r.options.Logger.Warn("configuration log not readable", "error", err, "failures", r.failures)
+		r.sleep(ctx, max(r.backOff(following), kind.Of(err).RetryAfter), nil)
+		return
+	}
+	r.failures = 0
+	r.fold(batch)
+	if r.caughtUp {
+		r.writeSnapshot(ctx)
+	}
+	switch {
+	case len(batch.Records) > 0:
+		// More records may follow.
+	case following:
+		r.sleep(ctx, r.jitter(emptyPause), nil)
+	default:
+		r.sleep(ctx, r.jitter(r.options.pollInterval()), r.wake)
+	}
+}
+
+// record notes the outcome of a request to the log service.
+func (r *Runner) record(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.status.LastError = ""
+	if err != nil {
+		r.status.LastError = err.Error()
+		r.status.Failures++
+		return
+	}
+	r.status.Reads++
+	r.status.LastRead = r.options.Now()
+}
+
+// from returns the offset to read from. In a gap it is where the search for a
+// snapshot continues.
+func (r *Runner) from() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.inGap() {
+		return r.scanned
+	}
+	return r.State().Offset()
+}
+
+// fold applies a batch of the log to the state.
+func (r *Runner) fold(batch logservice.Batch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current := r.State()
+	next, gap := current.Clone(), false
+	for _, record := range batch.Records {
+		result := configlog.Fold(next, record)
+		r.report(&result)
+		gap = result.Outcome == configlog.Gap
+		if result.Outcome == configlog.SnapshotApplied {
+			// The records between the snapshot's offset and its own are read next.
+			break
+		}
+	}
+	empty := len(batch.Records) == 0
+	if empty {
+		gap = r.inGap() || batch.Earliest > next.Offset()
+	}
+	if gap && !r.inGap() {
+		r.options.Logger.Warn("configuration records are missing; waiting for a snapshot", "have", next.Offset(), "earliest", batch.Earliest)
+	}
+	if batch.Next < next.Offset() && empty {
+		r.options.Logger.Error("the configuration log ends before the offset already folded", "have", next.Offset(), "next", batch.Next)
+	}
+	// A follower that was at the end lags by one long poll at most. A node that
+	// polls rarely or comes back from an outage must see the end first.
+	r.caughtUp = !gap && (empty || r.caughtUp && r.status.Following && len(batch.Records) < batchRecords)
+	r.status.Gap, r.gapAt, r.scanned = gap, next.Offset(), batch.Next
+	if next.Offset() > current.Offset() {
+		r.publish(next)
+	}
+}
+
+// report logs what became of a change.
+func (r *Runner) report(result *configlog.Result) {
+	switch result.Outcome {
+	case configlog.Accepted:
+		r.options.Logger.Info("configuration accepted", "service", result.Name.String(), "revision", result.Revision, "offset", result.Offset, "author", result.Author)
+	case configlog.Rejected:
+		r.options.Logger.Warn("configuration rejected", "error", result.Err(), "id", result.ID)
+	case configlog.SnapshotApplied:
+		r.options.Logger.Info("configuration taken from a snapshot", "record", result.Offset)
+	}
+}
+
+// writeSnapshot appends a snapshot if the newest one is older than a quarter
+// of the retention and no node with a lower rank has written one in time. It
+// is called only at the end of the log: the snapshot of a state that lags
+// behind could leave a hole to the earliest kept record.
+func (r *Runner) writeSnapshot(ctx context.Context) {
+	state, now := r.State(), r.options.Now()
+	if state.Offset() == 0 || now.Before(r.noSnapshotBefore) {
+		return
+	}
+	quarter := r.options.Retention / 4
+	_, newest := state.Snapshot()
+	due := newest.Add(quarter)
+	if newest.IsZero() {
+		if r.unseenSince.IsZero() {
+			r.unseenSince = now
+		}
+		due = r.unseenSince
+	}
+	// The cap leaves half of the retention for the snapshot to be written even
+	// if all nodes with a low rank have failed.
+	due = due.Add(min(time.Duration(max(r.options.Rank(), 0))*r.options.rankDelay(), quarter))
+	if now.Before(due) {
+		return
+	}
+	_, err := r.options.Client.Append(ctx, configlog.Stream, configlog.EncodeSnapshot(state))
+	// A snapshot whose answer was lost is read back before the next try.
+	r.noSnapshotBefore = now.Add(r.jitter(r.options.rankDelay()))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.status.LastError = err.Error()
+		r.options.Logger.Warn("configuration snapshot not written", "error", err)
+		return
+	}
+	r.status.Snapshots++
+}
+
+// backOff returns the pause after a failure.
+func (r *Runner) backOff(following bool) time.Duration {
+	most := mostBackOffPolling
+	if following {
+		most = mostBackOff
+	}
+	return r.jitter(min(firstBackOff<<min(r.failures-1, 16), most))
+}
+
+// jitter returns a duration from half of d to one and a half d.
+func (r *Runner) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(r.rand.Int64N(int64(d)+1))
+}
+
+// sleep waits for d, for a signal on wake or for the end of ctx.
+func (r *Runner) sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-wake:
+	case <-ctx.Done():
+	}
+}
