Keep the configuration with configsync and test the node on sockets

Cause: the provisional follower read the log from every node; three nodes of a failure domain follow it now, the others pull from peers.

--- a/internal/demo/naive.go
+++ b/internal/demo/naive.go
@@ -167,4 +167,3 @@
 		Backlog: s.connections, ServiceTime: s.serviceTime, Calls: s.calls, Effects: ledger, Seed: seed,
 	}
 }
-
--- a/node/config.go
+++ b/node/config.go
@@ -69,6 +69,9 @@
 	if c.LogRetention == 0 {
 		c.LogRetention = defaultLogRetention
 	}
+	if c.Log == nil {
+		c.Log = noLog{}
+	}
 	if c.Logger == nil {
 		c.Logger = hclog.NewNullLogger()
 	}
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -2,98 +2,128 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/goldcrestsail/goldcrestsail/configlog"
+	"github.com/goldcrestsail/goldcrestsail/configsync"
 	"github.com/goldcrestsail/goldcrestsail/peerrpc"
 )
 
 const (
-	// configWait is how long a read of the config stream waits for a record.
-	configWait = 20 * time.Second
-	// configRetry is the pause after a failed read.
-	configRetry = time.Second
-	// maxConfigBatch bounds the records of one read.
-	maxConfigBatch = 256
 	// pullTimeout bounds the pull of a peer's configuration.
-	pullTimeout = 3 * time.Second
+	pullTimeout = 2 * time.Second
+	// pullInterval is how often a node that knows of a newer configuration
+	// tries again to get it.
+	pullInterval = time.Second
+	// followersPerDomain is how many nodes of a failure domain follow the log.
+	// Three are enough to lose two at once; with 11 failure domains the log
+	// service has 33 waiting reads.
+	followersPerDomain = 3
 )
 
 // configuration keeps the node's configuration: from the log, and from peers
 // whose offset is higher.
 type configuration struct {
-	node    *Node
-	mu      sync.Mutex
-	current atomic.Pointer[configlog.State]
-	done    sync.WaitGroup
+	node   *Node
+	runner *configsync.Runner
+	// wake asks for a pull before the interval is over.
+	wake chan struct{}
+	stop context.CancelFunc
+	done sync.WaitGroup
 }
 
-func newConfiguration(n *Node, _ uint64) *configuration {
-	c := &configuration{node: n}
-	c.current.Store(configlog.NewState())
+func newConfiguration(n *Node, seed uint64) *configuration {
+	c := &configuration{node: n, wake: make(chan struct{}, 1)}
+	c.runner = configsync.New(configsync.Options{
+		Client: n.config.Log, Rand: rand.New(rand.NewPCG(seed, 3)), Logger: n.log.Named("config"),
+		Retention: n.config.LogRetention, Rank: c.rank, Following: true,
+	})
 	return c
 }
 
-func (c *configuration) state() *configlog.State { return c.current.Load() }
+func (c *configuration) state() *configlog.State { return c.runner.State() }
 
+// start runs the follower and applies each new configuration.
 func (c *configuration) start(ctx context.Context) {
-	if c.node.config.Log != nil {
-		c.done.Go(func() { c.follow(ctx) })
-	}
+	ctx, c.stop = context.WithCancel(ctx)
+	offsets, cancel := c.runner.Subscribe()
+	c.done.Go(func() { _ = c.runner.Run(ctx) })
+	c.done.Go(func() {
+		defer cancel()
+		c.apply(ctx, offsets)
+	})
+	c.done.Go(func() { c.pullLoop(ctx) })
 }
 
-func (c *configuration) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		batch, err := c.node.config.Log.Read(ctx, configlog.Stream, c.state().Offset(), maxConfigBatch, configWait)
-		if err != nil {
-			select {
-			case <-time.After(configRetry):
-			case <-ctx.Done():
-			}
-			continue
-		}
-		c.mu.Lock()
-		next := c.state().Clone()
-		for _, r := range batch.Records {
-			configlog.Fold(next, r)
+func (c *configuration) apply(ctx context.Context, offsets <-chan uint64) {
+	for {
+		select {
+		case offset := <-offsets:
+			c.node.gossip.SetConfigOffset(offset)
+			c.node.applyPolicy()
+			c.node.log.Info("configuration changed", "offset", offset)
+		case <-ctx.Done():
+			return
 		}
-		c.storeLocked(next)
-		c.mu.Unlock()
 	}
 }
 
-// storeLocked publishes a state with a higher offset.
-func (c *configuration) storeLocked(next *configlog.State) {
-	if next.Offset() <= c.state().Offset() {
-		return
+// offsetSeen asks for a pull after a peer has shown a higher offset.
+func (c *configuration) offsetSeen() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
 	}
-	c.current.Store(next)
-	c.node.gossip.SetConfigOffset(next.Offset())
-	c.node.applyPolicy()
-	c.node.log.Info("configuration changed", "offset", next.Offset())
 }
 
-// offsetSeen pulls the configuration of a peer that is ahead.
-func (c *configuration) offsetSeen(peer string, offset uint64) {
-	c.done.Go(func() {
-		<-c.node.joined
-		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
-		defer cancel()
-		answer, err := c.node.peers.client(peer).PullConfig(ctx, &peerrpc.PullConfigRequest{HaveOffset: c.state().Offset()})
-		if err != nil || len(answer.Snapshot) == 0 {
+// pullLoop gets the configuration from a peer whenever one is ahead.
+func (c *configuration) pullLoop(ctx context.Context) {
+	ticker := time.NewTicker(pullInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.wake:
+		case <-ticker.C:
+		case <-ctx.Done():
 			return
 		}
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		next, err := configlog.Adopt(c.state(), answer.Snapshot)
-		if err != nil {
-			c.node.log.Warn("configuration of a peer not adopted", "peer", peer, "error", err)
-			return
+		c.runner.SetFollowing(c.following())
+		offset, peer := c.node.gossip.HighestConfigOffset()
+		if offset > c.state().Offset() && peer.IsValid() {
+			c.pull(ctx, peer.String())
 		}
-		c.storeLocked(next)
-	})
+	}
+}
+
+func (c *configuration) pull(ctx context.Context, peer string) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	answer, err := c.node.peers.client(peer).PullConfig(ctx, &peerrpc.PullConfigRequest{HaveOffset: c.state().Offset()})
+	if err == nil {
+		err = c.runner.Adopt(answer.Snapshot)
+	}
+	if err != nil {
+		c.node.log.Warn("configuration not pulled from a peer; reading the log", "peer", peer, "error", err)
+		c.runner.ReadNow()
+	}
 }
 
-func (c *configuration) close() { c.done.Wait() }
+// following reports whether this node is among the followers of its failure
+// domain.
+func (c *configuration) following() bool {
+	return rendezvousRank(c.node.gossip.Members(), c.node.id, c.node.config.FailureDomain) < followersPerDomain
+}
+
+// rank returns the node's place among all that may write snapshots.
+func (c *configuration) rank() int {
+	return rendezvousRank(c.node.gossip.Members(), c.node.id, "")
+}
+
+func (c *configuration) close() {
+	if c.stop != nil {
+		c.stop()
+	}
+	c.done.Wait()
+}
--- a/node/dump.go
+++ b/node/dump.go
@@ -37,7 +37,8 @@
 		"claims":     claimed,
 		"quarantine": n.quarantine.dump(),
 		"config": map[string]any{
-			"offset": configState.Offset(), "policies": configState.Policies(), "results": configState.Results(),
+			"offset": configState.Offset(), "status": n.configuration.runner.Status(),
+			"policies": configState.Policies(), "results": configState.Results(),
 		},
 	}
 }
--- /dev/null
+++ b/node/fixture_test.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/goldcrestsail/goldcrestsail/chainhttp"
+	"github.com/goldcrestsail/goldcrestsail/configlog"
+	"github.com/goldcrestsail/goldcrestsail/internal/standin/logstore"
+	"github.com/goldcrestsail/goldcrestsail/internal/standin/target"
+	"github.com/goldcrestsail/goldcrestsail/policy"
+)
+
+// eventually bounds waits for a state that has no deadline of its own.
+const eventually = 20 * time.Second
+
+// fixture is a set of nodes with targets on loopback sockets.
+type fixture struct {
+	t       *testing.T
+	log     *logstore.Store
+	ledger  *target.Ledger
+	nodes   []*Node
+	targets []*target.Target
+	client  *http.Client
+}
+
+const freePort = "127.0.0.1:0"
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, log: logstore.New(logstore.Options{}), ledger: target.NewLedger(), client: &http.Client{Transport: &http.Transport{}}}
+	t.Cleanup(f.client.CloseIdleConnections)
+	return f
+}
+
+// publish appends the policy of a service with one read class and one
+// non-idempotent class.
+func (f *fixture) publish(service string, change func(*configlog.PolicyBody)) {
+	timeout := int64(5000)
+	body := &configlog.PolicyBody{
+		Slots: new(8), Connections: new(32), RetryAllowance: new(2), ColdStartMS: new(int64(1)),
+		Classes: []configlog.ClassBody{
+			{Name: "pay", Importance: new(0), NonIdempotent: true, TimeoutMS: &timeout, Match: []policy.Match{{Methods: []string{"POST"}, Path: "/pay/**"}}},
+			{Name: "read", Importance: new(5), Retryable: true, TimeoutMS: &timeout, Match: []policy.Match{{Path: "/**"}}},
+		},
+	}
+	if change != nil {
+		change(body)
+	}
+	record := &configlog.Record{
+		Schema: configlog.Schema2, ID: uuid.NewString(), Name: policy.ServiceName{Customer: "acme", Service: service},
+		Op: configlog.Put, Author: "test", Policy: body,
+	}
+	_, err := f.log.Append(context.Background(), configlog.Stream, record.Encode())
+	require.NoError(f.t, err)
+}
+
+// add starts a node and a target of the service beside it.
+func (f *fixture) add(config target.Config) (*Node, *target.Target) {
+	var seeds []string
+	if len(f.nodes) > 0 {
+		seeds = []string{f.nodes[0].GossipAddress()}
+	}
+	n := New(Config{
+		CallerAddress: freePort, TargetSideAddress: freePort, PeerAddress: freePort, GossipAddress: freePort, AdminAddress: freePort,
+		FailureDomain: "domain", Seeds: seeds, Log: f.log, Seed: uint64(len(f.nodes) + 1),
+	})
+	require.NoError(f.t, n.Start())
+	f.nodes = append(f.nodes, n)
+	config.Customer, config.Address, config.Node, config.Effects = "acme", freePort, n.Address("target-side"), f.ledger
+	if config.Slots == 0 {
+		config.Slots = 8
+	}
+	tgt := target.New(config)
+	require.NoError(f.t, tgt.Start())
+	f.targets = append(f.targets, tgt)
+	f.t.Cleanup(func() {
+		tgt.Stop()
+		select {
+		case <-n.Done():
+		default:
+			n.Close()
+		}
+	})
+	return n, tgt
+}
+
+// ready waits until every node can send work to every target.
+func (f *fixture) ready() {
+	for _, n := range f.nodes {
+		require.Eventually(f.t, func() bool { return n.ReadyTargets() == len(f.nodes) }, eventually, 5*time.Millisecond)
+	}
+}
+
+// response is a whole response.
+type response struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (r response) kind() string     { return r.header.Get(chainhttp.HeaderKind) }
+func (r response) runState() string { return r.header.Get(chainhttp.HeaderRunState) }
+
+// call sends a request to the caller address of a node.
+func (f *fixture) call(n *Node, method, service, path string, headers ...string) response {
+	r, err := http.NewRequest(method, "http://"+n.Address("caller")+path, nil)
+	require.NoError(f.t, err)
+	r.Host = service + ".acme"
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := f.client.Do(r)
+	require.NoError(f.t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(f.t, err)
+	return response{resp.StatusCode, resp.Header, strings.TrimSpace(string(body))}
+}
+
+// issueKey asks a node for one issued key.
+func (f *fixture) issueKey() string {
+	r := f.call(f.nodes[0], http.MethodPost, "front", keysPath)
+	var keys issuedKeys
+	require.NoError(f.t, json.Unmarshal([]byte(r.body), &keys), r.body)
+	require.Len(f.t, keys.Keys, 1)
+	return keys.Keys[0]
+}
--- a/node/guards.go
+++ b/node/guards.go
@@ -52,7 +52,7 @@
 		}
 		return
 	}
-	if g.node.config.Log == nil || !hasNonIdempotent(p) || g.ctx.Err() != nil {
+	if !hasNonIdempotent(p) || g.ctx.Err() != nil {
 		return
 	}
 	guard, err := claims.NewGuard(claims.Options{
--- a/node/members.go
+++ b/node/members.go
@@ -71,9 +71,7 @@
 }
 
 // ConfigOffsetSeen implements gossip.Delegate.
-func (d *delegate) ConfigOffsetSeen(peer netip.AddrPort, offset uint64) {
-	d.node.configuration.offsetSeen(peer.String(), offset)
-}
+func (d *delegate) ConfigOffsetSeen(netip.AddrPort, uint64) { d.node.configuration.offsetSeen() }
 
 // BroadcastReceived implements gossip.Delegate.
 func (d *delegate) BroadcastReceived(b membership.Broadcast) {
--- a/node/node.go
+++ b/node/node.go
@@ -47,10 +47,7 @@
 	// work counts requests in progress in both directions.
 	work      workCount
 	stopTimer context.CancelFunc
-	// joined is closed once the gossip transport is in place; its delegate is
-	// called before that.
-	joined chan struct{}
-	closed chan struct{}
+	closed    chan struct{}
 }
 
 // sheddingTable is the shedding table behind a lock.
@@ -76,7 +73,7 @@
 	}
 	n := &Node{
 		id: uuid.New(), config: config, peers: newPeers(), target: newLocalTarget(), gate: newGate(time.Now()),
-		chains: &chains{table: chain.NewTable(chain.Config{})}, budgets: newBudgets(), joined: make(chan struct{}), closed: make(chan struct{}),
+		chains: &chains{table: chain.NewTable(chain.Config{})}, budgets: newBudgets(), closed: make(chan struct{}),
 	}
 	n.log = config.Logger.With("node", n.id.String())
 	n.router = newRouter(n.id.String(), config.FailureDomain, rand.New(rand.NewPCG(seed, 1)))
@@ -117,7 +114,6 @@
 		n.closeServers()
 		return err
 	}
-	close(n.joined)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stopTimer = cancel
 	n.configuration.start(ctx)
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,124 @@
+package node
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/goldcrestsail/goldcrestsail/chainhttp"
+	"github.com/goldcrestsail/goldcrestsail/configlog"
+	"github.com/goldcrestsail/goldcrestsail/internal/standin/target"
+)
+
+func TestCallCrossesNodesAndChains(t *testing.T) {
+	f := newFixture(t)
+	f.publish("front", nil)
+	f.publish("back", nil)
+	f.add(target.Config{Service: "front", Calls: []target.SubCall{{Service: "back.acme", Path: "/items"}}})
+	entry, _ := f.add(target.Config{Service: "back"})
+	f.ready()
+
+	r := f.call(entry, http.MethodGet, "front", "/x?y=1", target.HeaderClientRequest, "1")
+	require.Equal(t, http.StatusOK, r.status, r.body)
+	require.JSONEq(t, `{"service":"front","path":"/x","request":"1","calls":["back.acme"],"complete":true}`, r.body)
+	require.Equal(t, "ran", r.runState())
+	require.Empty(t, r.kind())
+	require.Equal(t, 1, f.ledger.Executions("1", "back", "/items"))
+}
+
+// Guards against input that takes a node down or gets an answer without a kind.
+func TestMalformedRequestsGetAClearError(t *testing.T) {
+	f := newFixture(t)
+	f.publish("front", func(b *configlog.PolicyBody) { b.MaxRequestBytes = new(int64(4)) })
+	n, _ := f.add(target.Config{Service: "front"})
+	f.ready()
+	for _, c := range []struct {
+		name, service, method string
+		headers               []string
+		kind                  string
+	}{
+		{"service name", "no_such", "GET", nil, "malformed"},
+		{"unknown service", "other", "GET", nil, "unknown-service"},
+		{"timeout", "front", "GET", []string{chainhttp.HeaderTimeout, "soon"}, "malformed"},
+		{"no key", "front", "POST", nil, "key-required"},
+		{"bad key", "front", "POST", []string{chainhttp.HeaderKey, "a b"}, "key-malformed"},
+	} {
+		path := "/x"
+		if c.method == "POST" {
+			path = "/pay/1"
+		}
+		r := f.call(n, c.method, c.service, path, c.headers...)
+		require.Equal(t, c.kind, r.kind(), c.name)
+		require.Equal(t, "not-run", r.runState(), c.name)
+	}
+	require.Equal(t, http.StatusOK, f.call(n, "GET", "front", "/x").status)
+}
+
+// Guards against a second effect when a request is repeated, at the same time
+// and later, through other entry nodes.
+func TestNonIdempotentRequestRunsOnce(t *testing.T) {
+	f := newFixture(t)
+	f.publish("front", nil)
+	for range 3 {
+		f.add(target.Config{Service: "front", ServiceTime: 20 * time.Millisecond})
+	}
+	f.ready()
+	keys := []string{uuid.Must(uuid.NewV7()).String(), "order-17", ""}
+	keys[2] = f.issueKey()
+	for _, key := range keys {
+		var wait sync.WaitGroup
+		results := make([]response, 12)
+		for i := range results {
+			wait.Go(func() {
+				results[i] = f.call(f.nodes[i%3], http.MethodPost, "front", "/pay/1", chainhttp.HeaderKey, key, target.HeaderClientRequest, "first")
+			})
+		}
+		wait.Wait()
+		for i, r := range results {
+			require.Equal(t, http.StatusOK, r.status, "%s %d: %s", key, i, r.body)
+		}
+		late := f.call(f.nodes[1], http.MethodPost, "front", "/pay/1", chainhttp.HeaderKey, key, target.HeaderClientRequest, "late")
+		require.Equal(t, "true", late.header.Get(chainhttp.HeaderReplayed), late.body)
+		require.Equal(t, results[0].body, late.body)
+		require.Equal(t, 1, f.ledger.Effects("front", key))
+		other := f.call(f.nodes[0], http.MethodPost, "front", "/pay/2", chainhttp.HeaderKey, key)
+		require.Equal(t, "key-reused", other.kind())
+	}
+}
+
+// Guards against a departure that cuts off a request or answers it wrongly.
+func TestDrainCutsOffNothing(t *testing.T) {
+	f := newFixture(t)
+	f.publish("front", nil)
+	leaving, leavingTarget := f.add(target.Config{Service: "front", ServiceTime: 100 * time.Millisecond})
+	staying, _ := f.add(target.Config{Service: "front", ServiceTime: 100 * time.Millisecond})
+	f.ready()
+
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	for client := range 6 {
+		wait.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				r := f.call(staying, http.MethodGet, "front", "/x", target.HeaderClientRequest, strconv.Itoa(client)+"-"+strconv.Itoa(i))
+				if r.status != http.StatusOK {
+					t.Errorf("request failed during the drain: %s", r.body)
+				}
+			}
+		})
+	}
+	leaving.StartDrain()
+	<-leaving.Done()
+	leavingTarget.Stop()
+	close(stop)
+	wait.Wait()
+}
--- a/node/peer_service.go
+++ b/node/peer_service.go
@@ -7,7 +7,6 @@
 	"github.com/google/uuid"
 	"github.com/twitchtv/twirp"
 
-	"github.com/goldcrestsail/goldcrestsail/configlog"
 	"github.com/goldcrestsail/goldcrestsail/peerrpc"
 	"github.com/goldcrestsail/goldcrestsail/policy"
 )
@@ -45,11 +44,9 @@
 
 // PullConfig implements peerrpc.Peer.
 func (s *peerService) PullConfig(_ context.Context, q *peerrpc.PullConfigRequest) (*peerrpc.PullConfigResponse, error) {
-	state := s.node.configState()
-	if state.Offset() <= q.HaveOffset {
-		return &peerrpc.PullConfigResponse{Offset: state.Offset()}, nil
-	}
-	return &peerrpc.PullConfigResponse{Offset: state.Offset(), Snapshot: configlog.EncodeSnapshot(state)}, nil
+	return &peerrpc.PullConfigResponse{
+		Offset: s.node.configState().Offset(), Snapshot: s.node.configuration.runner.Encode(q.HaveOffset),
+	}, nil
 }
 
 // IssueKeys implements peerrpc.Peer.
