Compare targets by the work that goes before a call

Under strict priority a long queue of less important calls says nothing about the wait of an important one, but it decided where important calls went. Nodes now report their load by importance, and work that is less important counts only until the slots are full.

--- a/internal/replay/forward.go
+++ b/internal/replay/forward.go
@@ -95,7 +95,7 @@
 func (f *forward) run() {
 	n, w := f.node, f.node.w
 	in := routing.PickInput{
-		Exclude: f.tried, FailureDomain: n.target.domain, Pinned: f.pinned,
+		Exclude: f.tried, FailureDomain: n.target.domain, Pinned: f.pinned, Importance: f.request.importance,
 		MayProbe: f.request.op.Retryable && f.grant.more(),
 	}
 	if f.request.crashes > 0 {
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -36,6 +36,7 @@
 	shed     *shedding.Table
 
 	served             map[admission.ID]*served
+	byImportance       [policy.MaxImportance + 1]int
 	nextID             admission.ID
 	expiry             *timer
 	draining, starting bool
@@ -101,7 +102,7 @@
 	ids := slices.Sorted(maps.Keys(n.served))
 	for _, id := range ids {
 		if s := n.served[id]; s.job == nil {
-			delete(n.served, id)
+			n.forget(s)
 			n.decide(n.queue.Cancel(n.w.now, id))
 			s.refuse(kind.Starting)
 		}
@@ -144,11 +145,17 @@
 
 func (n *node) offer(s *served) {
 	n.served[s.id] = s
+	n.byImportance[s.request.importance]++
 	n.decide(n.queue.Offer(n.w.now, admission.Request{
 		ID: s.id, Rank: s.request.rank(), Deadline: s.request.deadline, ServiceTime: n.limiter.ServiceTime(),
 	}))
 }
 
+func (n *node) forget(s *served) {
+	delete(n.served, s.id)
+	n.byImportance[s.request.importance]--
+}
+
 // decide carries out the decisions of the queue and sets the next expiry.
 func (n *node) decide(decisions []admission.Decision) {
 	for _, d := range decisions {
@@ -157,7 +164,7 @@
 			continue
 		}
 		if !d.Admitted() {
-			delete(n.served, d.ID)
+			n.forget(s)
 			n.checkInversion(s, d.Refused)
 			s.refuse(d.Refused)
 			continue
@@ -199,7 +206,7 @@
 		Path: append(r.path[:len(r.path):len(r.path)], r.op.Service), Allowance: r.allowance,
 	}, n.policies[r.op.Service].MaxDepth)
 	if err != nil {
-		delete(n.served, s.id)
+		n.forget(s)
 		s.refuse(kind.Of(err).Kind)
 		n.decide(n.queue.Release(n.w.now, s.id))
 		return
@@ -218,7 +225,7 @@
 func (s *served) leave(timedOut bool) chain.Summary {
 	n, now := s.node, s.node.w.now
 	summary, _ := n.chains.Leave(now, s.token)
-	delete(n.served, s.id)
+	n.forget(s)
 	n.limiter.Observe(now, limit.Sample{
 		Latency: summary.Own, Total: summary.Total, InFlight: len(n.target.running) + len(n.target.waiting) + 1, TimedOut: timedOut,
 	})
@@ -250,7 +257,10 @@
 	own := serviceLevel{n.target.service.Name, n.target.id, stats.Level, now}
 	return peerReply{
 		reply: p, unused: unused, visited: visited, levels: mergeLevels([]serviceLevel{own}, s.levels),
-		load: &routing.Load{InFlight: stats.Running, Waiting: stats.Waiting, Limit: stats.Limit, Draining: n.draining},
+		load: &routing.Load{
+			InFlight: stats.Running, Waiting: stats.Waiting, Limit: stats.Limit, Draining: n.draining,
+			ByImportance: slices.Clone(n.byImportance[:]),
+		},
 	}
 }
 
@@ -262,7 +272,7 @@
 		return
 	}
 	if s.job == nil {
-		delete(n.served, s.id)
+		n.forget(s)
 		n.decide(n.queue.Cancel(n.w.now, s.id))
 		return
 	}
--- a/internal/replay/peer_call.go
+++ b/internal/replay/peer_call.go
@@ -63,7 +63,7 @@
 func (n *node) call(to *node, r peerRequest, done func(*peerReply, kind.Kind)) *peerCall {
 	w := n.w
 	c := &peerCall{from: n, to: to, link: n.layer.link(n, to), request: r, begun: w.now, done: done}
-	n.routes[r.op.Service].Start(w.now, routing.TargetID(to.target.id))
+	n.routes[r.op.Service].StartClass(w.now, routing.TargetID(to.target.id), r.importance)
 	c.link.pending = append(c.link.pending, c)
 	c.timer = w.after(max(0, r.deadline.Sub(w.now)), func() {
 		c.withdraw()
@@ -124,7 +124,7 @@
 		c.link.pending = slices.Delete(c.link.pending, i, i+1)
 	}
 	now := c.from.w.now
-	result := routing.Result{Latency: now.Sub(c.begun), Kind: k}
+	result := routing.Result{Latency: now.Sub(c.begun), Kind: k, Importance: c.request.importance}
 	if p != nil {
 		result.Kind, result.Load, result.Status = p.kind, p.load, p.status
 		c.from.observe(p)
--- a/routing/cost.go
+++ b/routing/cost.go
@@ -26,22 +26,31 @@
 	meanWeight = 0.05
 )
 
-// cost compares targets; lower is better. It is the expected utilization times
-// a factor for latency and a factor for recent refusals.
-func (t *Table) cost(g *target, now time.Time) float64 {
-	return (idleCost + t.utilization(g, now)) * t.latencyFactor(g, now) * (1 + g.refusalsAt(now))
+// cost compares targets for a call of the given importance; lower is better.
+// It is the expected utilization times a factor for latency and a factor for
+// recent refusals.
+func (t *Table) cost(g *target, now time.Time, importance int) float64 {
+	return (idleCost + t.utilization(g, now, importance)) * t.latencyFactor(g, now) * (1 + g.refusalsAt(now))
 }
 
-// utilization estimates the calls at a target over its limit. A reported load
+// utilization estimates the work at a target over its limit. A reported load
 // loses its weight to the mean over all targets with age: with age it says
 // less about this target, but a stale report must not make it look idle.
-func (t *Table) utilization(g *target, now time.Time) float64 {
-	others := t.meanOthers
+//
+// A call waits for a free slot and then behind the calls that are at least as
+// important. So all work counts until the slots are full, and beyond that only
+// the work that goes first. Otherwise a long queue of less important calls
+// would hide which targets have room for important ones.
+func (t *Table) utilization(g *target, now time.Time, importance int) float64 {
+	others, ahead := t.meanOthers, t.meanAhead[clamp(importance)]
 	if !g.loadAt.IsZero() {
 		w := halved(1, now.Sub(g.loadAt), t.options.LoadHalfLife)
-		others = w*g.othersAtLoad() + (1-w)*t.meanOthers
+		others = w*g.othersAtLoad() + (1-w)*others
+		ahead = w*g.aheadAtLoad(importance) + (1-w)*ahead
 	}
-	return float64(g.own)/g.limit() + others
+	all := float64(g.own)/g.limit() + others
+	first := float64(sumTo(g.ownBy[:], importance))/g.limit() + ahead
+	return (min(all, 1) + min(first, all)) / 2
 }
 
 // othersAtLoad is the utilization by other nodes in the last report.
@@ -49,6 +58,24 @@
 	return float64(max(0, g.load.InFlight+g.load.Waiting-g.ownAtLoad)) / g.limit()
 }
 
+// aheadAtLoad is the part of othersAtLoad up to an importance. Without a report
+// by importance everything counts.
+func (g *target) aheadAtLoad(importance int) float64 {
+	if len(g.load.ByImportance) == 0 {
+		return g.othersAtLoad()
+	}
+	return float64(max(0, sumTo(g.load.ByImportance, importance)-sumTo(g.ownByAtLoad[:], importance))) / g.limit()
+}
+
+// sumTo adds the counts up to and including an importance.
+func sumTo(counts []int, importance int) int {
+	n := 0
+	for i := range min(importance+1, len(counts)) {
+		n += counts[i]
+	}
+	return n
+}
+
 func (t *Table) latencyFactor(g *target, now time.Time) float64 {
 	if g.latency == 0 || t.meanLatency == 0 {
 		return 1
@@ -65,8 +92,11 @@
 }
 
 func (t *Table) learnLoad(g *target, now time.Time, load Load) {
-	g.load, g.loadAt, g.ownAtLoad = load, now, g.own
+	g.load, g.loadAt, g.ownAtLoad, g.ownByAtLoad = load, now, g.own, g.ownBy
 	t.meanOthers += meanWeight * (g.othersAtLoad() - t.meanOthers)
+	for i := range t.meanAhead {
+		t.meanAhead[i] += meanWeight * (g.aheadAtLoad(i) - t.meanAhead[i])
+	}
 }
 
 func (t *Table) learnLatency(g *target, now time.Time, latency time.Duration) {
--- a/routing/load.go
+++ b/routing/load.go
@@ -8,6 +8,10 @@
 	Waiting int
 	// Limit is the concurrency limit in force; 0 means not reported.
 	Limit int
+	// ByImportance counts the requests in flight and waiting of each importance,
+	// the most important first. It may be shorter than the number of
+	// importances, and empty when not reported.
+	ByImportance []int
 	// Draining says that the target refuses new work from now on.
 	Draining bool
 }
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -64,7 +64,7 @@
 	if localCost <= remoteCost {
 		return local
 	}
-	if localCost <= t.options.DomainFactor*remoteCost && t.utilization(local, now) < fullUtilization {
+	if localCost <= t.options.DomainFactor*remoteCost && t.utilization(local, now, in.Importance) < fullUtilization {
 		return local
 	}
 	return remote
@@ -84,7 +84,7 @@
 	case 0:
 		return nil, 0
 	case 1:
-		return from[0], t.cost(from[0], now)
+		return from[0], t.cost(from[0], now, in.Importance)
 	}
 	i := rng.IntN(len(from))
 	j := rng.IntN(len(from) - 1)
@@ -92,7 +92,7 @@
 		j++
 	}
 	a, b := from[i], from[j]
-	costA, costB := t.cost(a, now), t.cost(b, now)
+	costA, costB := t.cost(a, now, in.Importance), t.cost(b, now, in.Importance)
 	if costB < costA {
 		return b, costB
 	}
--- a/routing/pick_input.go
+++ b/routing/pick_input.go
@@ -16,6 +16,9 @@
 	Designated uint64
 	// Subset is the number of targets to choose from; 0 means DefaultSubset.
 	Subset int
+	// Importance of the call; 0 is the most important. Work that is less
+	// important does not delay the call and so does not count against a target.
+	Importance int
 	// MayProbe allows the call to probe an ejected target. The caller sets it
 	// only for retryable requests that have retry allowance left.
 	MayProbe bool
--- a/routing/table.go
+++ b/routing/table.go
@@ -17,9 +17,12 @@
 	// ranking holds all targets by falling rendezvous weight for this node.
 	ranking []*target
 
-	// meanOthers is the mean utilization by other nodes in recent reports, and
-	// meanLatency the mean response time in seconds.
-	meanOthers, meanLatency float64
+	// meanOthers is the mean utilization by other nodes in recent reports,
+	// meanAhead the part of it up to each importance, and meanLatency the mean
+	// response time in seconds.
+	meanOthers  float64
+	meanAhead   [importances]float64
+	meanLatency float64
 
 	// The subset in use: the targets in the node's own failure domain, the
 	// others, and the ejected targets to probe.
@@ -79,9 +82,12 @@
 	t.enforceCap(now)
 }
 
-// Start records that a call to a target begins. Each Start is followed by one
-// Done.
-func (t *Table) Start(now time.Time, id TargetID) {
+// Start is StartClass for the most important class.
+func (t *Table) Start(now time.Time, id TargetID) { t.StartClass(now, id, 0) }
+
+// StartClass records that a call of the given importance to a target begins.
+// It is followed by one Done with the same importance in the result.
+func (t *Table) StartClass(now time.Time, id TargetID, importance int) {
 	g := t.byID[id]
 	if g == nil {
 		return
@@ -90,9 +96,13 @@
 		g.quietSince, g.unanswered = now, 0
 	}
 	g.own++
+	g.ownBy[clamp(importance)]++
 	g.unanswered++
 }
 
+// clamp returns the nearest importance in range.
+func clamp(importance int) int { return min(max(importance, 0), importances-1) }
+
 // Done records the end of a call to a target.
 func (t *Table) Done(now time.Time, id TargetID, r Result) {
 	g := t.byID[id]
@@ -100,6 +110,8 @@
 		return
 	}
 	g.own = max(0, g.own-1)
+	i := clamp(r.Importance)
+	g.ownBy[i] = max(0, g.ownBy[i]-1)
 	if r.Load != nil {
 		t.learn(g, now, *r.Load)
 	}
@@ -176,7 +188,7 @@
 		s := TargetStatus{
 			ID: g.member.ID, FailureDomain: g.member.FailureDomain, State: g.member.State,
 			Own: g.own, Load: g.load, Latency: time.Duration(g.latency * float64(time.Second)),
-			Cost: t.cost(g, now), Failures: g.failures, Ejected: g.ejected,
+			Cost: t.cost(g, now, importances-1), Failures: g.failures, Ejected: g.ejected,
 			InSubset: slices.Contains(t.local, g) || slices.Contains(t.remote, g),
 		}
 		if !g.loadAt.IsZero() {
--- a/routing/target.go
+++ b/routing/target.go
@@ -1,6 +1,13 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/policy"
+)
+
+// importances is the number of importances that a policy can state.
+const importances = policy.MaxImportance + 1
 
 // target is what the table knows about one target.
 type target struct {
@@ -9,11 +16,12 @@
 	// rank is the rendezvous weight of the target for this node.
 	rank uint64
 
-	// own counts this node's calls in flight; ownAtLoad is its value when the
-	// last load arrived.
-	own, ownAtLoad int
-	load           Load
-	loadAt         time.Time
+	// own counts this node's calls in flight, in total and by importance;
+	// ownAtLoad and ownByAtLoad are the values when the last load arrived.
+	own, ownAtLoad     int
+	ownBy, ownByAtLoad [importances]int
+	load               Load
+	loadAt             time.Time
 
 	latency   float64 // seconds; 0 means no sample
 	latencyAt time.Time
