--- a/internal/replay/client_call.go
+++ b/internal/replay/client_call.go
@@ -54,9 +54,9 @@
 					return
 				}
 				timeout.stop()
+				r.response = p
 				// A lost response shows as a connection that is reset.
 				if lost := w.fraction("lost response", r.id*16+uint64(a.number)) < w.lose; lost || p.status != http.StatusOK {
-					r.refused = string(p.kind)
 					again()
 					return
 				}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -53,3 +54,72 @@
 	require.NoError(t, err)
 	require.Equal(t, first.String(), second.String())
 }
+
+// Guards against a layer that changes what callers get when nothing is wrong:
+// at light load every response equals that of the naive version.
+func TestLightLoadEqualsNaive(t *testing.T) {
+	for _, path := range traces(t) {
+		if !strings.Contains(path, "-a-") {
+			continue
+		}
+		for seed := range uint64(3) {
+			trace, err := Load(path)
+			require.NoError(t, err)
+			trace.Events = slices.DeleteFunc(trace.Events, func(e Event) bool { return e.Fault != "" })
+			*trace.Events[0].Arrivals /= 5
+			trace.Events = trace.Events[:1]
+			trace.Head.Seed, trace.Head.DurationMS = 100+seed, 5000
+			before, after := replay(trace, newNaive).ledger, replay(trace, newLayer).ledger
+			require.Equal(t, len(before.requests), len(after.requests))
+			require.NotEmpty(t, before.requests)
+			require.Equal(t, before.effects, after.effects)
+			for i, b := range before.requests {
+				a := after.requests[i]
+				require.Equal(t, b.op.Name, a.op.Name)
+				require.Equal(t, b.response, a.response, "%s, request %d", path, b.id)
+				require.False(t, a.answeredAt.IsZero(), "%s, request %d", path, a.id)
+				require.Equal(t, 1, a.attempts)
+			}
+		}
+	}
+}
+
+// Guards against an objective that is measured against too low a bound.
+func TestAllowedFollowsTheSlots(t *testing.T) {
+	rate := 100.0
+	trace := &Trace{
+		Head: Head{
+			Services: []Service{{Name: "a", Targets: 2, Slots: 5}, {Name: "b", Targets: 1, Slots: 4}},
+			Operations: []Operation{
+				{Name: "first", Service: "a", Importance: 0, OwnMS: 50},
+				{Name: "second", Service: "a", Importance: 1, OwnMS: 9.6, Calls: []string{"deep"}},
+				{Name: "deep", Service: "b", Importance: 1, OwnMS: 40},
+			},
+		},
+		Events: []Event{{Until: 2000, Arrivals: &rate, Mix: map[string]float64{"first": 0.5, "second": 1.5}}},
+	}
+	// 50 per second of the first take 2.5 of 10 slots; the second takes 50 ms of
+	// the other 7.5 and 40 ms of 4, so at most 100 of its 150 per second run.
+	require.InDelta(t, 300, allowed(trace, 0, ms(2000)), 0.01)
+	trace.Events = append(trace.Events, Event{At: 1000, Fault: FaultSlow, Service: "b", Factor: 4})
+	// In the second half the lookup takes 160 ms: 25 per second.
+	require.InDelta(t, 150+75, allowed(trace, 0, ms(2000)), 0.01)
+}
+
+// Guards against a trace that is replayed although a part of it is not
+// understood.
+func TestLoadNamesTheFaultyLine(t *testing.T) {
+	head := `{"deployment":"d","services":[{"name":"a","targets":1,"slots":1}],"operations":[{"name":"x","service":"a"}]}` + "\n"
+	for text, want := range map[string]string{
+		head + "{":                                         ":2:",
+		head + `{"fault":"flood"}`:                         "unknown fault",
+		head + `{"mix":{"y":1}}`:                           `no operation "y"`,
+		head + `{"at_ms":1,"rate":3}`:                      ":2:",
+		strings.Replace(head, `"a","targ`, `"b","targ`, 1): `no service "a"`,
+	} {
+		path := filepath.Join(t.TempDir(), "trace.jsonl")
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		_, err := Load(path)
+		require.ErrorContains(t, err, want)
+	}
+}
--- a/internal/replay/request.go
+++ b/internal/replay/request.go
@@ -17,9 +17,9 @@
 
 	answeredAt time.Time
 	attempts   int
-	// refused holds the kind of the last refusal.
-	refused string
-	entry   *target
+	// response is the last response that reached the client.
+	response reply
+	entry    *target
 	// issuer is the target whose node issued the key, or nil.
 	issuer *target
 }
