--- a/configlog/record.go
+++ b/configlog/record.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"strconv"
+	"strings"
 	"unicode"
 
 	"github.com/goldcrestsail/goldcrestsail/internal/strictjson"
@@ -81,18 +83,40 @@
 	if err != nil {
 		return nil, []kind.FieldError{{Field: "text", Value: clip(err.Error()), Allowed: "JSON"}}
 	}
-	return DecodeDocument(doc)
-}
-
-// DecodeDocument is DecodeRecord for a parsed text, such as a file with
-// comments. The change ID may be missing.
-func DecodeDocument(doc *strictjson.Document) (*Record, []kind.FieldError) {
 	var w recordWire
 	if faults := doc.Decode(&w); len(faults) > 0 {
 		return nil, faults
 	}
+	return w.record(), nil
+}
+
+func (w *recordWire) record() *Record {
 	return &Record{Schema: w.Schema, ID: w.ID, Name: policy.ServiceName{Customer: w.Customer, Service: w.Service},
-		Base: w.Base, Op: Op(w.Op), Author: w.Author, Policy: w.Policy}, nil
+		Base: w.Base, Op: Op(w.Op), Author: w.Author, Policy: w.Policy}
+}
+
+// CheckDocument reads one change from a parsed text, such as a file with
+// comments, and returns the faults of DecodeRecord and of Check together. The
+// record is nil if there are any. The change ID may be missing.
+func CheckDocument(doc *strictjson.Document) (*Record, []kind.FieldError) {
+	var w recordWire
+	faults := doc.Decode(&w)
+	unread := map[string]bool{"id": w.ID == ""}
+	for _, f := range faults {
+		unread[f.Field] = true
+	}
+	r := w.record()
+	faults = append(faults, slices.DeleteFunc(r.checkHeader(), func(f kind.FieldError) bool { return unread[f.Field] })...)
+	// What is judged by the value of another field cannot be judged without it.
+	for field := range unread {
+		unread["policy.min_limit"] = unread["policy.min_limit"] || field == "policy.slots"
+		unread["policy.default_class"] = unread["policy.default_class"] || strings.HasPrefix(field, "policy.classes")
+	}
+	faults = append(faults, slices.DeleteFunc(r.checkValues(), func(f kind.FieldError) bool { return unread[f.Field] })...)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return r, nil
 }
 
 // Check returns all faults that can be found without the current state, each
@@ -100,11 +124,15 @@
 // schema 1 policy is checked as if its service were new. Fold may still reject
 // a record without faults, for its base or for schema 2 fields that it keeps.
 func (r *Record) Check() []kind.FieldError {
-	faults := r.checkHeader()
-	if r.Policy != nil {
-		faults = append(faults, checkPolicy(r.Policy.apply(r.Schema, r.Name, nil))...)
+	return append(r.checkHeader(), r.checkValues()...)
+}
+
+// checkValues returns the faults in the values of the policy, if there is one.
+func (r *Record) checkValues() []kind.FieldError {
+	if r.Policy == nil {
+		return nil
 	}
-	return faults
+	return checkPolicy(r.Policy.apply(r.Schema, r.Name, nil))
 }
 
 // checkHeader returns the faults outside the values of the policy.
--- a/internal/configcmd/change_file.go
+++ b/internal/configcmd/change_file.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strconv"
 
 	"github.com/goldcrestsail/goldcrestsail/configlog"
@@ -42,16 +43,16 @@
 		f.faults = append(f.faults, fmt.Sprintf("%s: %v", path, err))
 		return f
 	}
-	record, faults := configlog.DecodeDocument(doc)
+	record, faults := configlog.CheckDocument(doc)
 	if record != nil {
 		if record.ID == "" {
 			record.ID = uuid.NewHash(sha256.New(), idNamespace, record.Encode(), 8).String()
 		}
-		faults = record.Check()
 		if n := len(record.Encode()); n > configlog.MaxChangeBytes {
 			faults = append(faults, kind.FieldError{Field: "policy", Value: strconv.Itoa(n) + " bytes", Allowed: fmt.Sprintf("a record of at most %d bytes", configlog.MaxChangeBytes)})
 		}
 	}
+	slices.SortStableFunc(faults, func(a, b kind.FieldError) int { return doc.Line(a.Field) - doc.Line(b.Field) })
 	for _, fault := range faults {
 		f.faults = append(f.faults, fmt.Sprintf("%s:%d: %v", path, doc.Line(fault.Field), fault))
 	}
--- a/internal/configcmd/configcmd_test.go
+++ b/internal/configcmd/configcmd_test.go
@@ -48,7 +48,7 @@
 // Guards against a check that stops at the first fault or the first file.
 func TestCheckReportsAllFaultsOfAllFiles(t *testing.T) {
 	good := write(t, "good.json", paydesk1)
-	typed := write(t, "typed.json", strings.NewReplacer(`"slots": 70`, `"slots": "70", "min_limit": 3`, `"importance": 0, `, ``).Replace(paydesk1))
+	typed := write(t, "typed.json", strings.NewReplacer(`"slots": 70`, `"slots": "70", "min_limit": 3`, `"importance": 0, `, ``, `"connections": 500`, `"connections": 0`).Replace(paydesk1))
 	valued := write(t, "valued.json", strings.NewReplacer(`"slots": 70`, `"slots": 0`, `/payouts"`, `payouts"`, `"base": 0`, `"base": 9`, `"op": "put"`, `"op": "set"`).Replace(paydesk1))
 	code, out, errs := run(nil, func(e Env) int { return Check(e, []string{good, typed, valued, good, "none.json"}) })
 	require.Equal(t, ExitFailure, code)
@@ -56,6 +56,8 @@
 	for _, want := range []string{
 		typed + `:5: policy.slots: "70" is not allowed, want an integer`,
 		typed + `:4: policy.classes[0].importance`,
+		typed + `:5: policy.min_limit: "present" is not allowed, want no such field in schema 1`,
+		typed + `:5: policy.connections: "0" is not allowed, want an integer from 1`,
 		valued + `:5: policy.slots: "0"`,
 		valued + `:4: policy.classes[0].match[0].path`,
 		valued + `:2: op: "set"`,
@@ -64,6 +66,7 @@
 	} {
 		require.Contains(t, errs, want)
 	}
+	require.NotContains(t, errs, typed+`:5: policy.min_limit: "3" is not allowed, want an integer from 1 to 1`, "without slots the limit cannot be judged")
 }
 
 func TestWrongUsage(t *testing.T) {
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -13,7 +13,8 @@
 // maxValueBytes bounds the text of a wrong value that a fault repeats.
 const maxValueBytes = 80
 
-// Decode fills the struct that dst points to and returns all faults. Field
+// Decode fills the struct that dst points to and returns all faults. What could
+// be read is filled in also if there are faults, so that it can be judged. Field
 // names come from json tags and must match exactly; a field without omitempty
 // in its tag is required. Supported are structs, slices, pointers, strings,
 // bools, ints, uint64s and floats. null is never accepted: an absent value is
@@ -47,7 +48,9 @@
 	case reflect.Pointer:
 		fresh := reflect.New(dst.Type().Elem())
 		before := len(w.faults)
-		if w.value(path, v, fresh.Elem()); len(w.faults) == before {
+		w.value(path, v, fresh.Elem())
+		_, object := v.Value.(*hujson.Object)
+		if len(w.faults) == before || object && fresh.Elem().Kind() == reflect.Struct {
 			dst.Set(fresh)
 		}
 	case reflect.Struct:
