--- /dev/null
+++ b/examples/doc.go
@@ -0,0 +1,2 @@
+// Package examples holds the settings and policies of two customers.
+package examples
