--- a/configlog/record.go
+++ b/configlog/record.go
@@ -150,11 +150,11 @@
 	check("service", r.Name.Service, policy.ValidName(r.Name.Service), "a DNS label in lower case")
 	check("op", string(r.Op), r.Op == Put || r.Op == Delete, "put or delete")
 	check("author", r.Author, len(r.Author) <= MaxAuthorBytes && printable(r.Author), "at most "+strconv.Itoa(MaxAuthorBytes)+" bytes without control characters")
-	check("policy", "", r.Op != Put || r.Policy != nil, "a policy; put needs one")
-	check("policy", "present", r.Op != Delete || r.Policy == nil, "no policy for a delete")
+	check("policy", "(missing)", r.Op != Put || r.Policy != nil, "a policy; put needs one")
+	check("policy", "(present)", r.Op != Delete || r.Policy == nil, "no policy for a delete")
 	if r.Schema == Schema1 && r.Policy != nil {
 		for _, field := range r.Policy.schema2Fields() {
-			check("policy."+field, "present", false, "no such field in schema 1; use schema 2")
+			check("policy."+field, "(present)", false, "no such field in schema 1; use schema 2")
 		}
 	}
 	return faults
--- a/internal/configcmd/configcmd_test.go
+++ b/internal/configcmd/configcmd_test.go
@@ -56,7 +56,7 @@
 	for _, want := range []string{
 		typed + `:5: policy.slots: "70" is not allowed, want an integer`,
 		typed + `:4: policy.classes[0].importance`,
-		typed + `:5: policy.min_limit: "present" is not allowed, want no such field in schema 1`,
+		typed + `:5: policy.min_limit: "(present)" is not allowed, want no such field in schema 1`,
 		typed + `:5: policy.connections: "0" is not allowed, want an integer from 1`,
 		valued + `:5: policy.slots: "0"`,
 		valued + `:4: policy.classes[0].match[0].path`,
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -102,7 +102,7 @@
 	for i, name := range names {
 		if !seen[name] && !strings.HasSuffix(dst.Type().Field(i).Tag.Get("json"), ",omitempty") {
 			w.doc.lines[join(path, name)] = w.doc.lineAt(v.StartOffset)
-			w.fault(join(path, name), "", "a value; the field is required")
+			w.fault(join(path, name), "(missing)", "a value; the field is required")
 		}
 	}
 }
