--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -18,14 +18,14 @@
 
 // timer is one scheduled function.
 type timer struct {
-	at    time.Time
+	at    int64 // nanoseconds since 1970
 	order uint64
 	run   func()
 }
 
 func (e *engine) after(d time.Duration, run func()) *timer {
 	e.added++
-	t := &timer{e.now.Add(d), e.added, run}
+	t := &timer{e.now.Add(d).UnixNano(), e.added, run}
 	heap.Push(&e.queue, t)
 	return t
 }
@@ -39,10 +39,10 @@
 
 // runUntil runs everything that is due up to the given time.
 func (e *engine) runUntil(end time.Time) {
-	for len(e.queue) > 0 && !e.queue[0].at.After(end) {
+	for len(e.queue) > 0 && e.queue[0].at <= end.UnixNano() {
 		t := heap.Pop(&e.queue).(*timer)
-		e.now = t.at
 		if t.run != nil {
+			e.now = time.Unix(0, t.at)
 			t.run()
 		}
 	}
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -35,12 +35,14 @@
 	chains   *chain.Table
 	shed     *shedding.Table
 
-	served             map[admission.ID]*served
-	byImportance       [policy.MaxImportance + 1]int
-	nextID             admission.ID
-	expiry             *timer
-	draining, starting bool
-	passed             service
+	served map[admission.ID]*served
+	// byImportance counts all requests at the node, waiting those that the
+	// target has not got.
+	byImportance, waiting [policy.MaxImportance + 1]int
+	nextID                admission.ID
+	expiry                *timer
+	draining, starting    bool
+	passed                service
 }
 
 // served is a request at the node beside its target.
@@ -146,6 +148,7 @@
 func (n *node) offer(s *served) {
 	n.served[s.id] = s
 	n.byImportance[s.request.importance]++
+	n.waiting[s.request.importance]++
 	n.decide(n.queue.Offer(n.w.now, admission.Request{
 		ID: s.id, Rank: s.request.rank(), Deadline: s.request.deadline, ServiceTime: n.limiter.ServiceTime(),
 	}))
@@ -154,6 +157,9 @@
 func (n *node) forget(s *served) {
 	delete(n.served, s.id)
 	n.byImportance[s.request.importance]--
+	if s.job == nil {
+		n.waiting[s.request.importance]--
+	}
 }
 
 // decide carries out the decisions of the queue and sets the next expiry.
@@ -188,8 +194,8 @@
 		return
 	}
 	inverted := n.passed.inverted(s.request.importance, s.arrived)
-	for _, other := range n.served {
-		inverted = inverted || other.job == nil && other.request.importance > s.request.importance
+	for _, waiting := range n.waiting[s.request.importance+1:] {
+		inverted = inverted || waiting > 0
 	}
 	if inverted {
 		n.w.ledger.inversions++
@@ -211,6 +217,7 @@
 		n.decide(n.queue.Release(n.w.now, s.id))
 		return
 	}
+	n.waiting[r.importance]--
 	s.job = &job{op: r.op, attempt: r.attempt, context: s, done: s.finished, lost: s.crashed}
 	n.target.serve(s.job)
 }
--- a/internal/replay/timers.go
+++ b/internal/replay/timers.go
@@ -6,10 +6,10 @@
 func (q timers) Len() int { return len(q) }
 
 func (q timers) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
+	if q[i].at == q[j].at {
 		return q[i].order < q[j].order
 	}
-	return q[i].at.Before(q[j].at)
+	return q[i].at < q[j].at
 }
 
 func (q timers) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
