Replay non-idempotent requests through the claims

Each node of a service with a non-idempotent class drives the state machine of idempotency against a fake of the log service; clients with issued keys ask for the key first and are pinned to the issuer.

--- a/internal/replay/client_call.go
+++ b/internal/replay/client_call.go
@@ -17,6 +17,10 @@
 			break
 		}
 	}
+	if r.op.IssuedKey {
+		w.sys.issueKey(r, func() { w.try(r) })
+		return
+	}
 	w.try(r)
 }
 
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -51,3 +51,6 @@
 
 // ms returns a number of milliseconds as a duration.
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// elapsed is the time since the start of the trace.
+func (e *engine) elapsed() time.Duration { return e.now.Sub(start) }
--- a/internal/replay/layer.go
+++ b/internal/replay/layer.go
@@ -26,11 +26,13 @@
 	nodes    []*node
 	byID     map[routing.TargetID]*node
 	links    map[[2]int]*link
+	log      *logFake
 	chainIDs uint64
 }
 
 func newLayer(w *world) system {
 	l := &layer{w: w, byID: map[routing.TargetID]*node{}, links: map[[2]int]*link{}}
+	l.log = &logFake{w: w, streams: map[string]*stream{}}
 	for _, t := range w.targets {
 		n := newNode(l, t)
 		l.nodes = append(l.nodes, n)
@@ -52,6 +54,22 @@
 	return l.links[key]
 }
 
+// issueKey asks the node of a target of the service for a key.
+func (l *layer) issueKey(r *request, done func()) {
+	n := l.nodes[r.entry.index]
+	id, err := n.routes[r.op.Service].Pick(n.rng, l.w.now, routing.PickInput{FailureDomain: n.target.domain})
+	if err != nil {
+		l.w.after(readRetry, func() { l.issueKey(r, done) })
+		return
+	}
+	issuer := l.byID[id]
+	delay := l.w.clientLatency() + l.w.latency(n.target, issuer.target)
+	l.w.after(delay, func() {
+		issuer.claims.issue(r)
+		l.w.after(delay, done)
+	})
+}
+
 // submit is the entry of a client's request: early shedding, then the call.
 func (l *layer) submit(a *attempt, entry *target, done func(reply)) func() {
 	n, r, now := l.nodes[entry.index], a.request, l.w.now
--- a/internal/replay/naive_system.go
+++ b/internal/replay/naive_system.go
@@ -44,6 +44,9 @@
 	return n
 }
 
+// issueKey does nothing: the naive version knows no keys.
+func (n *naiveSystem) issueKey(_ *request, done func()) { done() }
+
 func (n *naiveSystem) submit(a *attempt, entry *target, done func(reply)) func() {
 	n.hop(a, entry, a.request.op, 0, done)
 	return nil // nothing is cancelled
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/goldcrestsail/goldcrestsail/admission"
 	"github.com/goldcrestsail/goldcrestsail/chain"
+	"github.com/goldcrestsail/goldcrestsail/idempotency"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/limit"
 	"github.com/goldcrestsail/goldcrestsail/policy"
@@ -34,6 +35,8 @@
 	limiter  *limit.Limiter
 	chains   *chain.Table
 	shed     *shedding.Table
+	// claims is nil when the service has no non-idempotent class.
+	claims *claims
 
 	served map[admission.ID]*served
 	// byImportance counts all requests at the node, waiting those that the
@@ -47,9 +50,11 @@
 
 // served is a request at the node beside its target.
 type served struct {
-	node    *node
-	id      admission.ID
-	token   chain.Token
+	node  *node
+	id    admission.ID
+	token chain.Token
+	// claim is the token of the idempotency key, or 0.
+	claim   uint64
 	request peerRequest
 	arrived time.Time
 	job     *job
@@ -80,6 +85,9 @@
 	n.limiter.Tick(now)
 	n.queue = admission.NewQueue(admission.Config{QueueTimeout: p.QueueTimeout}, n.limiter.Limit(), now)
 	n.starting = t.state != routing.Ready
+	if slices.ContainsFunc(l.w.head.Operations, func(o Operation) bool { return o.NonIdempotent && o.Service == t.service.Name }) {
+		n.claims = newClaims(n)
+	}
 	n.tick()
 	return n
 }
@@ -141,7 +149,11 @@
 	}
 	n.nextID++
 	s.id = n.nextID
-	n.offer(s)
+	if r.op.NonIdempotent {
+		n.claims.begin(s)
+	} else {
+		n.offer(s)
+	}
 	return s.cancel
 }
 
@@ -205,6 +217,12 @@
 // run starts the request at the target.
 func (s *served) run() {
 	n, r := s.node, s.request
+	if s.claim != 0 && !n.claims.mayWrite(s.claim) {
+		n.forget(s)
+		s.refuse(kind.ClaimUnavailable)
+		n.decide(n.queue.Release(n.w.now, s.id))
+		return
+	}
 	n.passed.begun(r.importance, n.w.now)
 	binary.BigEndian.PutUint64(s.token[:], uint64(n.target.index)<<48|uint64(s.id))
 	err := n.chains.Enter(n.w.now, s.token, chain.Chain{
@@ -225,6 +243,9 @@
 // finished returns the response of the target.
 func (s *served) finished(p reply) {
 	summary := s.leave(false)
+	if s.claim != 0 {
+		s.node.claims.step(idempotency.Finish{Token: s.claim, Response: p.encode()})
+	}
 	s.respond(s.reply(p, summary.Unused, summary.Visited))
 }
 
@@ -244,14 +265,26 @@
 // crashed answers after the target's process died with the request.
 func (s *served) crashed() {
 	s.leave(false)
+	if s.claim != 0 {
+		s.node.claims.step(idempotency.Lost{Token: s.claim})
+	}
 	s.respond(s.reply(refusal(kind.TargetCrashed), 0, nil))
 }
 
 // refuse answers that the request was not run.
 func (s *served) refuse(k kind.Kind) {
+	s.release()
 	s.respond(s.reply(refusal(k).notRun(), s.request.allowance, nil))
 }
 
+// release gives up the claim of a request that the target has not got.
+func (s *served) release() {
+	if s.claim != 0 {
+		s.node.claims.step(idempotency.Release{Token: s.claim})
+		s.claim = 0
+	}
+}
+
 func (p reply) notRun() reply {
 	p.run = kind.NotRun
 	return p
@@ -275,11 +308,17 @@
 // its target has got.
 func (s *served) cancel() {
 	n := s.node
+	if n.claims != nil && n.claims.waiting[uint64(s.id)] == s {
+		delete(n.claims.waiting, uint64(s.id))
+		n.claims.step(idempotency.Cancel{Attempt: uint64(s.id)})
+		return
+	}
 	if n.served[s.id] != s {
 		return
 	}
 	if s.job == nil {
 		n.forget(s)
+		s.release()
 		n.decide(n.queue.Cancel(n.w.now, s.id))
 		return
 	}
--- a/internal/replay/system.go
+++ b/internal/replay/system.go
@@ -3,6 +3,8 @@
 // system is what stands between clients and targets: goldcrestsail or the
 // naive version.
 type system interface {
+	// issueKey hands out a key for a request that has none from its client.
+	issueKey(r *request, done func())
 	// submit passes one attempt of a client on. done is called at most once,
 	// when the response is on its way to the client.
 	submit(a *attempt, entry *target, done func(reply)) (cancel func())
