Add the node and config commands; carry a request through separate processes

Cause: the thin path had run in one process only.

Seen: a stand-in log, a stand-in target and a node started by hand with examples/local/node.json; config publish accepts four policies, a curl request reaches the node and gets its answer, dump prints the target, drain ends the node with exit code 0.

Conclusion: the thin path stands as separate processes.

--- a/cmd/goldcrestsail/main.go
+++ b/cmd/goldcrestsail/main.go
@@ -24,6 +24,8 @@
 type command struct {
 	sub *flaggy.Subcommand
 	run func() int
+	// takesFiles reports whether further arguments are file names.
+	takesFiles func() bool
 }
 
 // errUsage marks an error in how a command was called.
@@ -37,7 +39,7 @@
 	parser.Description = "Overload control for service call graphs."
 	parser.Version = version
 	parser.ShowHelpOnUnexpected = false
-	commands := []*command{newNodeCommand(), newDumpCommand(), newDrainCommand(), newReplayCommand(), newDemoCommand()}
+	commands := []*command{newNodeCommand(), newConfigCommand(func() []string { return parser.TrailingArguments }), newDumpCommand(), newDrainCommand(), newReplayCommand(), newDemoCommand()}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.sub, 1)
 	}
@@ -45,14 +47,15 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
-	if len(parser.TrailingArguments) > 0 {
-		fmt.Fprintf(os.Stderr, "unexpected argument %q\n", parser.TrailingArguments[0])
-		return exitUsage
-	}
 	for _, c := range commands {
-		if c.sub.Used {
-			return c.run()
+		if !c.sub.Used {
+			continue
+		}
+		if rest := parser.TrailingArguments; len(rest) > 0 && (c.takesFiles == nil || !c.takesFiles()) {
+			fmt.Fprintf(os.Stderr, "unexpected argument %q\n", rest[0])
+			return exitUsage
 		}
+		return c.run()
 	}
 	parser.ShowHelp()
 	return exitUsage
--- /dev/null
+++ b/cmd/goldcrestsail/node.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/integrii/flaggy"
+
+	"github.com/goldcrestsail/goldcrestsail/logservice"
+	"github.com/goldcrestsail/goldcrestsail/node"
+	"github.com/goldcrestsail/goldcrestsail/settings"
+)
+
+func newNodeCommand() *command {
+	var path string
+	sub := flaggy.NewSubcommand("node")
+	sub.Description = "Run the node beside a target instance."
+	sub.String(&path, "", "settings", "Settings file, JSON with comments.")
+	return &command{sub: sub, run: func() int {
+		if path == "" {
+			return fail(fmt.Errorf("%w: --settings is required", errUsage))
+		}
+		s, err := settings.Load(path)
+		if err != nil {
+			return fail(err)
+		}
+		return runNode(s)
+	}}
+}
+
+// runNode runs a node until it has left. The first signal begins a graceful
+// departure, the second ends the process at once.
+func runNode(s *settings.Settings) int {
+	log := hclog.New(&hclog.LoggerOptions{Name: "goldcrestsail", Level: s.LogLevel, Output: os.Stderr, JSONFormat: true})
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	n := node.New(nodeConfig(s, log))
+	if err := n.Start(); err != nil {
+		return fail(err)
+	}
+	for {
+		select {
+		case <-n.Done():
+			return exitOK
+		case received := <-signals:
+			if n.Draining() {
+				log.Error("second signal; ending at once", "signal", received.String(), "requests_lost", n.InProgress())
+				n.Close()
+				return exitFailure
+			}
+			n.StartDrain()
+		}
+	}
+}
+
+func nodeConfig(s *settings.Settings, log hclog.Logger) node.Config {
+	c := node.Config{
+		CallerAddress: s.Addresses.Caller.String(), TargetSideAddress: s.Addresses.TargetSide.String(),
+		PeerAddress: s.Addresses.Peer.String(), GossipAddress: s.Addresses.Gossip.String(), AdminAddress: s.Addresses.Admin.String(),
+		Region: s.Region, FailureDomain: s.FailureDomain, LogRetention: s.LogRetention, Logger: log,
+		Log: logservice.NewHTTPClient(logservice.HTTPOptions{URL: s.LogURL}),
+	}
+	for _, seed := range s.Seeds {
+		c.Seeds = append(c.Seeds, seed.String())
+	}
+	if t := s.Target; t != nil {
+		c.Announcement = &node.Announcement{
+			Customer: t.Name.Customer, Service: t.Name.Service, Address: t.Address.String(), Slots: t.Slots, State: node.Ready,
+		}
+	}
+	return c
+}
--- a/node/drain.go
+++ b/node/drain.go
@@ -24,6 +24,12 @@
 	}()
 }
 
+// Draining reports whether a departure has begun.
+func (n *Node) Draining() bool { return n.draining.Load() }
+
+// InProgress returns the number of requests in progress in both directions.
+func (n *Node) InProgress() int { return n.work.current() }
+
 // Done is closed when the node has left and closed its listeners.
 func (n *Node) Done() <-chan struct{} { return n.closed }
 
--- a/node/work_count.go
+++ b/node/work_count.go
@@ -42,3 +42,10 @@
 		<-idle
 	}
 }
+
+// current returns the number of requests in progress.
+func (w *workCount) current() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.count
+}
