Let stand-in targets record effects in a ledger of another process

Cause: effects must be counted across targets that are killed; a killed process takes its own count with it. A target can also announce the address of a link.

--- a/cmd/standin/target.go
+++ b/cmd/standin/target.go
@@ -27,6 +27,8 @@
 	sub.String(&service, "", "service", "Service as SERVICE.CUSTOMER.")
 	sub.String(&config.Address, "", "listen", "Address to listen on.")
 	sub.String(&config.Node, "", "node", "Target-side address of the node beside the target.")
+	sub.String(&config.Announced, "", "announce", "Address to announce in place of the listen address.")
+	sub.String(&config.LedgerURL, "", "ledger", "Base URL of a ledger that records starts and effects.")
 	sub.Int(&config.Slots, "", "slots", "Requests served at once.")
 	sub.Duration(&config.ServiceTime, "", "service-time", "Mean time that a request takes.")
 	sub.String(&config.CrashPath, "", "crash-path", "Path prefix whose requests crash the process.")
--- a/internal/standin/target/announce.go
+++ b/internal/standin/target/announce.go
@@ -39,7 +39,11 @@
 	if t.draining.Load() {
 		state = "draining"
 	}
-	body, err := json.Marshal(announcement{t.config.Customer, t.config.Service, t.Address(), t.config.Slots, t.config.Slots, state})
+	address := t.config.Announced
+	if address == "" {
+		address = t.Address()
+	}
+	body, err := json.Marshal(announcement{t.config.Customer, t.config.Service, address, t.config.Slots, t.config.Slots, state})
 	if err != nil {
 		return
 	}
--- a/internal/standin/target/config.go
+++ b/internal/standin/target/config.go
@@ -13,6 +13,12 @@
 	// Node is the target-side address of the node beside the target. Without
 	// it the target neither announces itself nor makes sub-calls.
 	Node string
+	// Announced replaces the address that the target announces, such as that of
+	// a link in front of it.
+	Announced string
+	// LedgerURL is where effects are recorded before the answer, so that they
+	// outlive the process. Empty records them in Effects only.
+	LedgerURL string
 	// Slots is how many requests run at once; others wait inside the target.
 	Slots int
 	// Backlog bounds the requests that wait inside the target; beyond it the
--- a/internal/standin/target/handler.go
+++ b/internal/standin/target/handler.go
@@ -63,7 +63,11 @@
 	defer func() { <-slots }()
 
 	request := r.Header.Get(HeaderClientRequest)
-	t.effects.executed(request, t.config.Service, r.URL.Path)
+	if !t.recordStart(request, r.URL.Path) {
+		w.Header().Set(chainhttp.HeaderRunState, "not-run")
+		http.Error(w, "ledger not reachable", http.StatusServiceUnavailable)
+		return
+	}
 	if t.config.CrashPath != "" && strings.HasPrefix(r.URL.Path, t.config.CrashPath) {
 		t.Crash()
 		panic(http.ErrAbortHandler)
@@ -77,8 +81,9 @@
 		http.Error(w, "sub-call failed", status)
 		return
 	}
-	if key := r.Header.Get(chainhttp.HeaderKey); key != "" {
-		t.effects.effect(t.config.Service, key)
+	if key := r.Header.Get(chainhttp.HeaderKey); key != "" && !t.recordEffect(key) {
+		http.Error(w, "ledger not reachable", http.StatusInternalServerError)
+		return
 	}
 	t.writeAnswer(w, r, request, calls)
 }
--- /dev/null
+++ b/internal/standin/target/record.go
@@ -0,0 +1,50 @@
+package target
+
+import (
+	"net/http"
+	"net/url"
+)
+
+// StartPath and EffectPath are the paths of a remote ledger.
+const (
+	StartPath  = "/start"
+	EffectPath = "/effect"
+)
+
+// recordStart records the start of a request and reports success.
+func (t *Target) recordStart(request, path string) bool {
+	t.effects.executed(request, t.config.Service, path)
+	return t.post(StartPath, url.Values{"request": {request}, "path": {path}})
+}
+
+// recordEffect records the effect of a key and reports success.
+func (t *Target) recordEffect(key string) bool {
+	t.effects.effect(t.config.Service, key)
+	return t.post(EffectPath, url.Values{"key": {key}})
+}
+
+func (t *Target) post(path string, values url.Values) bool {
+	if t.config.LedgerURL == "" {
+		return true
+	}
+	values.Set("service", t.config.Service)
+	response, err := http.PostForm(t.config.LedgerURL+path, values)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// ServeHTTP makes a ledger a remote one for targets in other processes.
+func (l *Ledger) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	service := r.FormValue("service")
+	switch r.URL.Path {
+	case StartPath:
+		l.executed(r.FormValue("request"), service, r.FormValue("path"))
+	case EffectPath:
+		l.effect(service, r.FormValue("key"))
+	default:
+		http.NotFound(w, r)
+	}
+}
--- a/node/config.go
+++ b/node/config.go
@@ -21,9 +21,9 @@
 	GossipAddress     string
 	AdminAddress      string
 
-	// AdvertiseIP replaces the IP of the peer and gossip addresses in what
-	// other nodes are told; empty advertises the listen IP.
-	AdvertiseIP string
+	// AdvertisePeer replaces the peer address in what other nodes are told;
+	// empty advertises the listen address.
+	AdvertisePeer string
 
 	Region        string
 	FailureDomain string
--- a/node/members.go
+++ b/node/members.go
@@ -34,7 +34,7 @@
 func (n *Node) meta() membership.Meta {
 	a, state := n.target.current()
 	m := membership.Meta{
-		Customer: a.Customer, Service: a.Service, PeerAddr: n.advertised(n.Address("peer")),
+		Customer: a.Customer, Service: a.Service, PeerAddr: n.advertisedPeer(),
 		FailureDomain: n.config.FailureDomain, Region: n.config.Region,
 		TargetState: membershipState(state), Slots: uint32(a.Slots),
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -158,15 +158,16 @@
 // GossipAddress returns the UDP address that other nodes can use as a seed.
 func (n *Node) GossipAddress() string { return n.gossip.Addr().String() }
 
-// advertised returns the address of a listener as other nodes reach it.
-func (n *Node) advertised(address string) netip.AddrPort {
+// advertisedPeer returns the peer address as other nodes reach it.
+func (n *Node) advertisedPeer() netip.AddrPort {
+	address := n.config.AdvertisePeer
+	if address == "" {
+		address = n.Address("peer")
+	}
 	a, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return netip.AddrPort{}
 	}
-	if ip, err := netip.ParseAddr(n.config.AdvertiseIP); err == nil {
-		return netip.AddrPortFrom(ip, a.Port())
-	}
 	return a
 }
 
