--- a/node/config.go
+++ b/node/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/goldcrestsail/goldcrestsail/configsync"
 	"github.com/goldcrestsail/goldcrestsail/logservice"
 )
 
@@ -31,7 +32,8 @@
 	Seeds []string
 	// Log is the log service; nil runs without one.
 	Log logservice.Client
-	// LogRetention is how long the log service keeps records; default 1 h.
+	// LogRetention is how long the log service keeps records; default
+	// configsync.DefaultRetention.
 	LogRetention time.Duration
 	// Announcement announces a target from the settings, for a target that
 	// does not announce itself.
@@ -44,7 +46,7 @@
 
 // Defaults and bounds of a node.
 const (
-	defaultLogRetention = time.Hour
+	defaultLogRetention = configsync.DefaultRetention
 	// defaultTimeout applies when neither the caller nor the class sets one.
 	defaultTimeout = 5 * time.Second
 	// announcementLifetime is how long a target counts as present after its
--- a/node/fixture_test.go
+++ b/node/fixture_test.go
@@ -24,7 +24,7 @@
 
 // fixture is a set of nodes with targets on loopback sockets.
 type fixture struct {
-	t       *testing.T
+	t       testing.TB
 	log     *logstore.Store
 	ledger  *target.Ledger
 	nodes   []*Node
@@ -34,7 +34,7 @@
 
 const freePort = "127.0.0.1:0"
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	f := &fixture{t: t, log: logstore.New(logstore.Options{}), ledger: target.NewLedger(), client: &http.Client{Transport: &http.Transport{}}}
 	t.Cleanup(f.client.CloseIdleConnections)
 	return f
