--- a/node/fixture_test.go
+++ b/node/fixture_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -62,18 +63,34 @@
 	require.NoError(f.t, err)
 }
 
-// add starts a node and a target of the service beside it.
-func (f *fixture) add(config target.Config) (*Node, *target.Target) {
-	var seeds []string
+// startNode starts a node; change adjusts its configuration.
+func (f *fixture) startNode(change func(*Config)) *Node {
+	config := Config{
+		CallerAddress: freePort, TargetSideAddress: freePort, PeerAddress: freePort, GossipAddress: freePort, AdminAddress: freePort,
+		FailureDomain: "domain", Log: f.log, Seed: uint64(len(f.nodes) + 1),
+	}
 	if len(f.nodes) > 0 {
-		seeds = []string{f.nodes[0].GossipAddress()}
+		config.Seeds = []string{f.nodes[0].GossipAddress()}
 	}
-	n := New(Config{
-		CallerAddress: freePort, TargetSideAddress: freePort, PeerAddress: freePort, GossipAddress: freePort, AdminAddress: freePort,
-		FailureDomain: "domain", Seeds: seeds, Log: f.log, Seed: uint64(len(f.nodes) + 1),
-	})
+	if change != nil {
+		change(&config)
+	}
+	n := New(config)
 	require.NoError(f.t, n.Start())
 	f.nodes = append(f.nodes, n)
+	f.t.Cleanup(func() {
+		select {
+		case <-n.Done():
+		default:
+			n.Close()
+		}
+	})
+	return n
+}
+
+// add starts a node and a stand-in target of the service beside it.
+func (f *fixture) add(config target.Config) (*Node, *target.Target) {
+	n := f.startNode(nil)
 	config.Customer, config.Address, config.Node, config.Effects = "acme", freePort, n.Address("target-side"), f.ledger
 	if config.Slots == 0 {
 		config.Slots = 8
@@ -81,15 +98,23 @@
 	tgt := target.New(config)
 	require.NoError(f.t, tgt.Start())
 	f.targets = append(f.targets, tgt)
+	f.t.Cleanup(tgt.Stop)
+	return n, tgt
+}
+
+// addHandler starts a node beside a target that answers with the handler.
+func (f *fixture) addHandler(service string, handler http.HandlerFunc, change func(*Config)) *Node {
+	server := httptest.NewServer(handler)
 	f.t.Cleanup(func() {
-		tgt.Stop()
-		select {
-		case <-n.Done():
-		default:
-			n.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return f.startNode(func(c *Config) {
+		c.Announcement = &Announcement{Customer: "acme", Service: service, Address: server.Listener.Addr().String(), State: Ready}
+		if change != nil {
+			change(c)
 		}
 	})
-	return n, tgt
 }
 
 // ready waits until every node can send work to every target.
