--- a/gossip/delegate.go
+++ b/gossip/delegate.go
@@ -7,9 +7,11 @@
 )
 
 // Delegate receives what a Transport learns. Its methods are called one at a
-// time, in order, on one goroutine that also handles the socket: they must
-// return soon and must not call Leave or Close. The other methods of Transport
-// may be called.
+// time and in order on a goroutine of their own. While one of them does not
+// return, up to 1,024 changes wait; then the socket is no longer served, so
+// they must return soon. They must not call Leave or Close, which wait for
+// them. A method that calls UpdateMeta, SetConfigOffset or Broadcast must do so
+// on another goroutine: these may wait for the queue that it serves.
 type Delegate interface {
 	// MemberChanged reports a new member or a change of a member's state or
 	// metadata, also of this process itself.
--- a/internal/memnet/cluster/cluster.go
+++ b/internal/memnet/cluster/cluster.go
@@ -47,11 +47,11 @@
 	return c
 }
 
-// Start starts Options.Members processes within one second.
+// Start starts Options.Members processes, Options.StartRate of them per second.
 func (c *Cluster) Start() {
 	for range c.opts.Members {
 		c.Add()
-		c.Net.Run(time.Second / time.Duration(c.opts.Members))
+		c.Net.Run(time.Second / time.Duration(c.opts.StartRate))
 	}
 }
 
--- a/internal/memnet/cluster/options.go
+++ b/internal/memnet/cluster/options.go
@@ -16,6 +16,8 @@
 	Loss float64
 	// LeastLatency and MostLatency bound the one-way latency (1 ms and 10 ms).
 	LeastLatency, MostLatency time.Duration
+	// StartRate is the number of processes that Start starts per second (20).
+	StartRate int
 	// Domains and Regions are the numbers of failure domains and regions (11 and 5).
 	Domains, Regions int
 	// Configure may change the configuration of each node.
@@ -34,6 +36,9 @@
 	if o.MostLatency == 0 {
 		o.MostLatency = 10 * time.Millisecond
 	}
+	if o.StartRate == 0 {
+		o.StartRate = 20
+	}
 	if o.Domains == 0 {
 		o.Domains = 11
 	}
--- a/membership/apply.go
+++ b/membership/apply.go
@@ -47,7 +47,7 @@
 		}
 	}
 	if news {
-		n.enqueue(item{member: e}, min(level, routine), u.full && e.metaInc == u.metaInc)
+		n.pass(e, min(level, routine), u.full && e.metaInc == u.metaInc)
 	} else if u.incarnation == e.Incarnation && u.state == e.State {
 		e.rumor.hear()
 	}
@@ -127,11 +127,21 @@
 		// Only one process at a time holds an address, and this one does.
 		n.declareDead(e)
 	} else {
-		n.enqueue(item{member: e}, prompt, true)
+		n.pass(e, prompt, true)
 	}
 	n.emit(MemberChanged{e.Member})
 }
 
+// pass queues news heard from another member. What anti-entropy brings is only
+// passed on if it is urgent: it repairs what dissemination has missed, and a
+// joining member that repeated the whole table would use up its budget for
+// minutes.
+func (n *Node) pass(e *entry, level urgency, full bool) {
+	if !n.syncing || level == urgent {
+		n.enqueue(item{member: e}, level, full)
+	}
+}
+
 // applySelf refutes what others wrongly say about this node.
 func (n *Node) applySelf(u *update) {
 	if n.leaving {
--- a/membership/config.go
+++ b/membership/config.go
@@ -67,10 +67,9 @@
 	// which avoids fragmentation on common paths).
 	MaxDatagramBytes int
 	// SendRateBytes is the long-term bound on bytes sent per second, IP and
-	// UDP headers included (1,000: a cluster receives what it sends, so this
-	// keeps the traffic of a node in both directions within 2 KB per second).
+	// UDP headers included (2,000).
 	SendRateBytes int
-	// SendBurstBytes is what may be sent at once after a quiet time (16,000).
+	// SendBurstBytes is what may be sent at once after a quiet time (32,000).
 	SendBurstBytes int
 }
 
@@ -99,8 +98,8 @@
 	setDefault(&c.MaxDead, 4096)
 	setDefault(&c.MaxBroadcasts, 1024)
 	setDefault(&c.MaxDatagramBytes, 1200)
-	setDefault(&c.SendRateBytes, 1000)
-	setDefault(&c.SendBurstBytes, 16000)
+	setDefault(&c.SendRateBytes, 2000)
+	setDefault(&c.SendBurstBytes, 32000)
 	return c
 }
 
--- a/membership/node.go
+++ b/membership/node.go
@@ -64,7 +64,11 @@
 	order   []*entry
 	cursor  int
 	leaving bool
-	stopped bool
+	// syncing is true while the updates of an anti-entropy exchange are applied.
+	syncing bool
+	// joinBackoff is the time until the next contact of a seed.
+	joinBackoff time.Duration
+	stopped     bool
 
 	nextProbe, nextUrgent, nextSync, nextDeadProbe, nextHousekeeping time.Time
 	// requestedAt is when a bucket was last asked for.
@@ -227,6 +231,7 @@
 	r.heard = 0
 	r.queued = true
 	r.urgency = u
+	r.since = n.now.UnixNano()
 	i.version = r.version
 	q := &n.queues[u]
 	if q.size > 64+2*(len(n.members)+len(n.messageList)) {
@@ -244,7 +249,7 @@
 		if n.queues[u].size == 0 || shares[u] >= 1 {
 			continue
 		}
-		n.queues[u].take(limit, func(i item) bool {
+		n.queues[u].take(limit, n.now.Add(-maxRumorAge).UnixNano(), func(i item) bool {
 			left := n.budget.above(shares[u]) - b.size - PacketOverheadBytes
 			if i.message != nil {
 				return b.addBroadcast(&i.message.Broadcast, left)
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -38,6 +38,37 @@
 	deadline  time.Time
 }
 
+// fewMembers is the table size below which a node asks for contacts with its
+// pings: its probes would otherwise all go to the seeds.
+const fewMembers = 8
+
+// introductions is how many random members a node that knows few is told of.
+// The updates in the queue alone would join each group of new members only to
+// the seeds and not to the other groups.
+const introductions = 4
+
+// joinAnswerBytes bounds an answer to a joining member, which fetches the rest
+// from the members that it is told of. With whole datagrams a seed would use
+// up its budget on one join per second.
+const joinAnswerBytes = 500
+
+// introduce adds updates for a member that knows few others.
+func (n *Node) introduce(b *builder) {
+	for _, e := range n.randomPeers(introductions, nil) {
+		left := n.budget.above(0) - b.size - PacketOverheadBytes
+		b.addEntry(e, syncPart(e), left)
+	}
+	limit := b.limit
+	b.limit = min(limit, joinAnswerBytes)
+	n.fill(b, joinShares)
+	b.limit = limit
+}
+
+// mayAnswerJoin reports whether the budget allows an answer.
+func (n *Node) mayAnswerJoin() bool {
+	return n.mayAfford(joinAnswerBytes+PacketOverheadBytes, 0)
+}
+
 // maxRelays bounds the pings under way for other members.
 const maxRelays = 64
 
@@ -93,7 +124,7 @@
 
 // ping sends a ping to target, or to whoever holds addr if target is nil.
 func (n *Node) ping(addr netip.AddrPort, target *entry, seq uint32) {
-	ping := &wire.Ping{Seq: seq}
+	ping := &wire.Ping{Seq: seq, Few: len(n.present) < fewMembers}
 	if target != nil {
 		ping.Target = target.ID[:]
 	}
@@ -140,10 +171,9 @@
 
 func (n *Node) onPing(from netip.AddrPort, d *datagram, ping *wire.Ping) {
 	known := n.lookup(d.sender)
-	if len(ping.Target) == 0 && n.budget.above(0) <= 0 {
+	if len(ping.Target) == 0 && !n.mayAnswerJoin() {
 		// A seed in the middle of a mass start cannot answer all; the joining
 		// members are in its table by now and are contacted by others.
-		n.stats.Deferred++
 		return
 	}
 	b := n.newBuilder(&wire.Datagram{Body: &wire.Datagram_Ack{Ack: &wire.Ack{Seq: ping.Seq, Unknown: known == nil}}})
@@ -153,7 +183,11 @@
 	if e := n.senderStatus(d); e != nil {
 		b.addEntry(e, noMeta, b.limit)
 	}
-	n.fill(b, probeShares)
+	if ping.Few {
+		n.introduce(b)
+	} else {
+		n.fill(b, probeShares)
+	}
 	n.send(from, b)
 }
 
@@ -169,9 +203,12 @@
 }
 
 func (n *Node) onAck(from netip.AddrPort, d *datagram, ack *wire.Ack) {
-	if ack.Unknown {
+	// A member that learned of this node alone would send it all its probes,
+	// so the answer also introduces others.
+	if ack.Unknown && n.mayAnswerJoin() {
 		b := n.noBody()
 		b.addEntry(n.self, fullMeta, b.limit)
+		n.introduce(b)
 		n.send(from, b)
 	}
 	n.answerRelay(from, d, ack)
--- a/membership/queue.go
+++ b/membership/queue.go
@@ -14,9 +14,10 @@
 	q.size++
 }
 
-// take offers items to fit until it refuses one. Items that it accepts move up
+// take offers items to fit until it refuses one, and drops items of news older
+// than oldest. Items that it accepts move up
 // by one send plus the copies heard, and leave the queue at limit sends.
-func (q *queue) take(limit int, fit func(item) bool) {
+func (q *queue) take(limit int, oldest int64, fit func(item) bool) {
 	type raised struct {
 		level int
 		item  item
@@ -33,6 +34,11 @@
 				next++
 				continue
 			}
+			if r.since < oldest {
+				r.queued = false
+				next++
+				continue
+			}
 			target := level + int(r.heard)
 			if target < limit {
 				if !fit(i) {
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -27,6 +27,7 @@
 	}
 	n.stats.DatagramsReceived++
 	n.stats.BytesReceived += uint64(len(b) + PacketOverheadBytes)
+	_, n.syncing = d.body.(*wire.Sync)
 	var outdated []*entry
 	for i := range d.updates {
 		if e := n.apply(&d.updates[i]); e != nil {
--- a/membership/rumor.go
+++ b/membership/rumor.go
@@ -1,5 +1,12 @@
 package membership
 
+import "time"
+
+// maxRumorAge ends the dissemination of an update. Whoever has not heard of it
+// by then learns of it through anti-entropy; without the bound, the queue left
+// by a mass event would use up the whole budget for minutes after all agree.
+const maxRumorAge = 60 * time.Second
+
 // urgency orders updates for dissemination.
 type urgency uint8
 
@@ -18,6 +25,8 @@
 	// version tells the queued item of the latest news from older ones.
 	version uint32
 	urgency urgency
+	// since is when the news came, in Unix nanoseconds.
+	since int64
 	// heard counts copies received since the item was last taken. Each counts
 	// as one send: news that keeps coming back is already widely known.
 	heard uint8
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -14,6 +14,9 @@
 	maxSyncBuckets = 16
 	// maxSyncDatagrams bounds the datagrams in one answer.
 	maxSyncDatagrams = 6
+	// minSyncBudget is what must be left, in bytes, to begin an exchange: the
+	// digests would otherwise cost more than the updates that follow.
+	minSyncBudget = 3000
 	// eagerSyncInterval is the time between exchanges while the last one
 	// showed many differences: at the start, or after a partition.
 	eagerSyncInterval = 500 * time.Millisecond
@@ -48,7 +51,7 @@
 		return
 	}
 	if len(d.Buckets) == 0 {
-		if !n.mayAfford(400, syncShare) {
+		if !n.mayAfford(minSyncBudget, syncShare) {
 			return
 		}
 		reply := &wire.Digest{Root: n.root(), Buckets: make([]uint32, bucketCount)}
--- a/membership/timers.go
+++ b/membership/timers.go
@@ -10,8 +10,10 @@
 	// suspicionTick is the resolution of suspicion timeouts.
 	suspicionTick = 100 * time.Millisecond
 	// lonelyProbeInterval replaces DeadProbeInterval while no other member is
-	// present.
-	lonelyProbeInterval = time.Second
+	// present. It doubles up to maxLonelyProbeInterval, so that the traffic at
+	// the seeds stays bounded when a whole cluster starts.
+	lonelyProbeInterval    = time.Second
+	maxLonelyProbeInterval = 16 * time.Second
 	// pauseThreshold is how late a timer must run for the node to take it for
 	// a pause of its process.
 	pauseThreshold = time.Second
@@ -94,7 +96,10 @@
 	if due(n.nextDeadProbe, n.now) {
 		interval := n.cfg.DeadProbeInterval
 		if len(n.present) == 0 {
-			interval = lonelyProbeInterval
+			n.joinBackoff = min(max(2*n.joinBackoff, lonelyProbeInterval), maxLonelyProbeInterval)
+			interval = n.joinBackoff
+		} else {
+			n.joinBackoff = 0
 		}
 		n.nextDeadProbe = n.now.Add(n.jitter(interval))
 		if !n.leaving {
@@ -143,9 +148,7 @@
 // new node joins.
 func (n *Node) probeGone() {
 	if len(n.present) == 0 {
-		for range min(3, len(n.cfg.Seeds)) {
-			n.probeSeed()
-		}
+		n.probeSeed()
 	}
 	var dead []*entry
 	for tries := 0; tries < 8 && len(n.gone) > 0 && len(dead) == 0; tries++ {
