--- /dev/null
+++ b/membership/cluster_test.go
@@ -0,0 +1,292 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/goldcrestsail/goldcrestsail/internal/memnet/cluster"
+	"github.com/goldcrestsail/goldcrestsail/membership"
+)
+
+// running starts a cluster and waits until all members know each other.
+func running(t *testing.T, opts cluster.Options) *cluster.Cluster {
+	t.Helper()
+	c := cluster.New(opts)
+	c.Start()
+	_, ok := c.RunUntilConverged(1, 2*time.Minute)
+	require.True(t, ok, "the members do not agree after the start")
+	c.Net.Run(20 * time.Second)
+	return c
+}
+
+func gone(m membership.Member) bool { return !m.State.Present() }
+
+func draining(m membership.Member) bool { return m.Meta.TargetState == membership.Draining }
+
+// TestJoin guards against members that stay unknown after a start.
+func TestJoin(t *testing.T) {
+	t.Parallel()
+	c := running(t, cluster.Options{Members: 100, Loss: 0.05})
+	p := c.Add()
+	w := c.Watch(p.Node.Self().ID, func(m membership.Member) bool { return m.Meta.TargetState == membership.Ready })
+	_, all := w.Run(20 * time.Second)
+	require.Positive(t, all)
+	_, ok := c.RunUntilConverged(1, 20*time.Second)
+	require.True(t, ok, "the new member does not know all others")
+	require.LessOrEqual(t, c.Largest, 1200)
+}
+
+// TestMassStart guards against seeds that are overrun when a cluster starts at once.
+func TestMassStart(t *testing.T) {
+	t.Parallel()
+	c := cluster.New(cluster.Options{Members: 150, Loss: 0.05, StartRate: 1000})
+	c.Start()
+	_, ok := c.RunUntilConverged(1, time.Minute)
+	require.True(t, ok)
+}
+
+// TestDrain guards invariant 6: everyone knows of a draining target within 3 s.
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	c := running(t, cluster.Options{Members: 200, Loss: 0.05})
+	for _, i := range []int{3, 77, 150} {
+		meta := c.Peers[i].Node.Self().Meta
+		meta.TargetState = membership.Draining
+		w := c.Watch(c.Peers[i].Node.Self().ID, draining)
+		c.Peers[i].Do(membership.LocalUpdate{Meta: meta})
+		_, all := w.Run(3 * time.Second)
+		require.Positive(t, all)
+	}
+}
+
+// TestDrainDuringMassEvent guards against urgent updates that wait behind the
+// updates of a mass event.
+func TestDrainDuringMassEvent(t *testing.T) {
+	t.Parallel()
+	c := running(t, cluster.Options{Members: 200, Loss: 0.05})
+	for i := 150; i < 200; i++ {
+		c.Kill(c.Peers[i])
+	}
+	c.Net.Run(8 * time.Second)
+	meta := c.Peers[5].Node.Self().Meta
+	meta.TargetState = membership.Draining
+	w := c.Watch(c.Peers[5].Node.Self().ID, draining)
+	c.Peers[5].Do(membership.LocalUpdate{Meta: meta})
+	_, all := w.Run(3 * time.Second)
+	require.Positive(t, all)
+}
+
+// TestLeave guards against a departure that is taken for a failure or that does
+// not end.
+func TestLeave(t *testing.T) {
+	t.Parallel()
+	c := running(t, cluster.Options{Members: 100, Loss: 0.05})
+	p := c.Peers[40]
+	w := c.Watch(p.Node.Self().ID, func(m membership.Member) bool { return m.State == membership.Left })
+	p.Do(membership.Leave{})
+	_, all := w.Run(5 * time.Second)
+	require.Positive(t, all)
+	c.Net.Run(10 * time.Second)
+	require.False(t, p.Up, "the departure does not complete")
+	for _, o := range c.Up() {
+		require.Equal(t, 99, o.Node.Size())
+	}
+}
+
+// TestFailure guards against a dead member that stays in the tables.
+func TestFailure(t *testing.T) {
+	t.Parallel()
+	c := running(t, cluster.Options{Members: 100, Loss: 0.05})
+	w := c.Watch(c.Peers[50].Node.Self().ID, gone)
+	c.Kill(c.Peers[50])
+	_, all := w.Run(30 * time.Second)
+	require.Positive(t, all)
+	require.Zero(t, c.FalseDeaths)
+}
+
+// TestNoFalseDeath guards against healthy members that are declared dead.
+func TestNoFalseDeath(t *testing.T) {
+	t.Parallel()
+	c := running(t, cluster.Options{Members: 100, Loss: 0.05, MostLatency: 60 * time.Millisecond})
+	c.Net.Run(5 * time.Minute)
+	require.Zero(t, c.FalseDeaths)
+	_, ok := c.RunUntilConverged(1, time.Second)
+	require.True(t, ok)
+}
+
+// TestRefutation guards against a paused process that stays dead, or that
+// blames others for its own pause, when it resumes.
+func TestRefutation(t *testing.T) {
+	t.Parallel()
+	c := running(t, cluster.Options{Members: 60})
+	p := c.Peers[30]
+	w := c.Watch(p.Node.Self().ID, gone)
+	c.Freeze(p)
+	_, all := w.Run(40 * time.Second)
+	require.Positive(t, all, "the paused process is not declared dead")
+	c.Thaw(p)
+	_, ok := c.RunUntilConverged(1, 20*time.Second)
+	require.True(t, ok)
+	require.Greater(t, p.Node.Self().Incarnation, uint64(1))
+	require.Equal(t, uint64(1), p.Node.Stats().Pauses)
+	require.Zero(t, p.Node.Stats().Deaths, "the resumed process declared others dead")
+}
+
+// TestShortPause guards against a pause shorter than the suspicion timeout that
+// costs a member its place.
+func TestShortPause(t *testing.T) {
+	t.Parallel()
+	c := running(t, cluster.Options{Members: 60})
+	c.Freeze(c.Peers[30])
+	c.Net.Run(3 * time.Second)
+	c.Thaw(c.Peers[30])
+	c.Net.Run(20 * time.Second)
+	for _, p := range c.Peers {
+		require.Zero(t, p.Node.Stats().Deaths)
+	}
+}
+
+// TestPartitionHeals guards against two sides that never find each other again.
+func TestPartitionHeals(t *testing.T) {
+	t.Parallel()
+	c := running(t, cluster.Options{Members: 100, Loss: 0.05})
+	c.Cut(func(p *cluster.Peer) bool { return p.Index >= 80 })
+	c.Net.Run(5 * time.Minute)
+	require.Equal(t, 80, c.Peers[0].Node.Size())
+	require.Equal(t, 20, c.Peers[99].Node.Size())
+	c.Heal()
+	_, ok := c.RunUntilConverged(1, time.Minute)
+	require.True(t, ok)
+}
+
+// TestFailureDomainLost guards against a mass loss that is noticed late or
+// takes healthy members with it, and against processes that come back under
+// their old addresses with new IDs.
+func TestFailureDomainLost(t *testing.T) {
+	t.Parallel()
+	c := running(t, cluster.Options{Members: 200, Loss: 0.05})
+	for i := 180; i < 200; i++ {
+		c.Kill(c.Peers[i])
+	}
+	_, ok := c.RunUntilConverged(1, time.Minute)
+	require.True(t, ok)
+	require.Zero(t, c.FalseDeaths)
+	for i := 180; i < 200; i++ {
+		c.Restart(c.Peers[i])
+	}
+	_, ok = c.RunUntilConverged(1, time.Minute)
+	require.True(t, ok)
+}
+
+// TestReplacedProcess guards against an old process that stays alive in the
+// tables because a new one answers at its address.
+func TestReplacedProcess(t *testing.T) {
+	t.Parallel()
+	c := running(t, cluster.Options{Members: 60, Loss: 0.05})
+	p := c.Peers[20]
+	old := p.Node.Self().ID
+	c.Kill(p)
+	c.Restart(p)
+	_, ok := c.RunUntilConverged(1, 30*time.Second)
+	require.True(t, ok)
+	for _, o := range c.Peers {
+		for _, m := range o.Node.Members() {
+			require.False(t, m.ID == old && m.State.Present(), "the old process is still present")
+		}
+	}
+}
+
+// TestSteadyState guards against memory or traffic that grows with time: an hour
+// in which members fail, leave and join must leave nothing behind but the dead
+// of the retention time.
+func TestSteadyState(t *testing.T) {
+	t.Parallel()
+	c := running(t, cluster.Options{Members: 30, Configure: func(cfg *membership.Config) {
+		cfg.DeadRetention = 5 * time.Minute
+	}})
+	for round := range 12 {
+		p := c.Peers[10+round]
+		c.Kill(p)
+		c.Net.Run(time.Minute)
+		c.Restart(p)
+		if round == 6 {
+			c.Peers[0].Do(membership.LocalBroadcast{Broadcast: membership.Broadcast{
+				Kind: 1, ID: "b", Expiry: c.Net.Now().Add(time.Minute)}})
+		}
+		c.Net.Run(4 * time.Minute)
+	}
+	c.Net.Run(2 * time.Minute)
+	before, _ := c.BytesSent()
+	c.Net.Run(4 * time.Minute)
+	after, _ := c.BytesSent()
+	require.Less(t, (after-before)/240/30, uint64(1000), "bytes per second and node")
+	for _, p := range c.Peers {
+		require.Len(t, p.Node.Members(), 30)
+		require.Empty(t, p.Node.Broadcasts())
+	}
+}
+
+// TestBroadcast guards against quarantine entries that miss members, also those
+// that join later, or that are reported twice.
+func TestBroadcast(t *testing.T) {
+	t.Parallel()
+	c := running(t, cluster.Options{Members: 80, Loss: 0.05})
+	got := make(map[int]int)
+	c.OnEffect = func(p *cluster.Peer, e membership.Effect) {
+		if _, ok := e.(membership.BroadcastReceived); ok {
+			got[p.Index]++
+		}
+	}
+	c.Peers[7].Do(membership.LocalBroadcast{Broadcast: membership.Broadcast{
+		Kind: 1, ID: "fingerprint", Payload: []byte("crash"), Expiry: c.Net.Now().Add(time.Hour)}})
+	c.Net.Run(3 * time.Second)
+	require.Len(t, got, 79)
+	c.Net.Run(time.Minute)
+	late := c.Add()
+	c.Net.Run(20 * time.Second)
+	require.Len(t, late.Node.Broadcasts(), 1)
+	for _, n := range got {
+		require.Equal(t, 1, n)
+	}
+}
+
+// TestConfigOffset guards against a newer configuration that members do not
+// hear of, and against a wrong source for it.
+func TestConfigOffset(t *testing.T) {
+	t.Parallel()
+	c := running(t, cluster.Options{Members: 80, Loss: 0.05})
+	c.OnEffect = func(p *cluster.Peer, e membership.Effect) {
+		if seen, ok := e.(membership.ConfigOffsetSeen); ok {
+			// Stands for a pull that succeeds.
+			require.NotEqual(t, p.Node.Self().Meta.PeerAddr, seen.PeerAddr)
+			p.Do(membership.SetConfigOffset{Offset: seen.Offset})
+		}
+	}
+	c.Peers[3].Do(membership.SetConfigOffset{Offset: 9})
+	c.Net.Run(8 * time.Second)
+	for _, p := range c.Peers {
+		offset, _ := p.Node.HighestConfigOffset()
+		require.Equal(t, uint64(9), offset)
+	}
+}
+
+// TestSendBound guards the traffic bound: whatever happens, a node sends no more
+// than its rate and one burst.
+func TestSendBound(t *testing.T) {
+	t.Parallel()
+	c := running(t, cluster.Options{Members: 150, Loss: 0.05})
+	c.Cut(func(p *cluster.Peer) bool { return p.Index%2 == 0 })
+	c.Net.Run(2 * time.Minute)
+	c.Heal()
+	before := make([]uint64, len(c.Peers))
+	for i, p := range c.Peers {
+		before[i] = p.Node.Stats().BytesSent
+	}
+	c.Net.Run(time.Minute)
+	cfg := membership.Config{}.WithDefaults()
+	for i, p := range c.Peers {
+		require.LessOrEqual(t, p.Node.Stats().BytesSent-before[i], uint64(60*cfg.SendRateBytes+cfg.SendBurstBytes))
+	}
+}
