--- a/membership/node.go
+++ b/membership/node.go
@@ -219,7 +219,7 @@
 // sendLimit is how often this node sends one update.
 func (n *Node) sendLimit() int {
 	// Small clusters would otherwise lose an update to a few lost datagrams.
-	const least = 10
+	const least = 12
 	limit := int(math.Ceil(n.cfg.RetransmitFactor * math.Log2(float64(len(n.present)+2))))
 	return min(max(limit, least), maxSends-1)
 }
--- a/membership/rumor.go
+++ b/membership/rumor.go
@@ -56,8 +56,11 @@
 	return r.queued && r.version == i.version
 }
 
+// hear notes that another member sent the same news. Urgent news is sent its
+// full number of times all the same: its rounds follow each other so closely
+// that the copies heard say little about the members that missed it.
 func (r *rumor) hear() {
-	if r.queued && r.heard < maxSends {
+	if r.queued && r.urgency != urgent && r.heard < maxSends {
 		r.heard++
 	}
 }
