--- a/gossip/delegate.go
+++ b/gossip/delegate.go
@@ -7,9 +7,9 @@
 )
 
 // Delegate receives what a Transport learns. Its methods are called one at a
-// time, in order, on one goroutine that also handles the socket: they must
-// return soon and must not call Leave or Close. The other methods of Transport
-// may be called.
+// time on a goroutine of their own. While one of them runs, later changes wait,
+// and of several changes of one member only the latest is kept. The methods may
+// call those of Transport, except Leave and Close, which wait for them.
 type Delegate interface {
 	// MemberChanged reports a new member or a change of a member's state or
 	// metadata, also of this process itself.
