--- a/idempotency/event.go
+++ b/idempotency/event.go
@@ -1,6 +1,10 @@
 package idempotency
 
-import "github.com/goldcrestsail/goldcrestsail/logservice"
+import (
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/logservice"
+)
 
 // Event is an input of Machine.Step.
 type Event interface{ isEvent() }
@@ -15,8 +19,11 @@
 	}
 	// Cancel ends an attempt that was not answered yet.
 	Cancel struct{ Attempt uint64 }
-	// ClaimTimeout ends an attempt that still waits for the log.
-	ClaimTimeout struct{ Attempt uint64 }
+	// ClaimTimeout ends an attempt that has waited for the log for Limit.
+	ClaimTimeout struct {
+		Attempt uint64
+		Limit   time.Duration
+	}
 	// Records is a batch of the stream, read from the offset Machine.Next.
 	Records struct {
 		Batch logservice.Batch
--- a/idempotency/local_key.go
+++ b/idempotency/local_key.go
@@ -14,6 +14,8 @@
 	placedTimeMS int64
 	// claimedAt is when the claim was made, before its append.
 	claimedAt time.Duration
+	// logSince is since when the key waits for a claim or a release in the log.
+	logSince time.Duration
 	// token is the one that may still be ended; 0 for none.
 	token uint64
 	// attempts wait for the decision or for the running one to finish.
--- a/idempotency/machine.go
+++ b/idempotency/machine.go
@@ -82,6 +82,9 @@
 // Next returns the offset to read from.
 func (m *Machine) Next() uint64 { return m.fold.next }
 
+// Window returns Config.Window.
+func (m *Machine) Window() time.Duration { return m.cfg.Window }
+
 // SetWindow changes Config.Window. A longer window is honoured for a key only
 // when all claims since the key's time are known.
 func (m *Machine) SetWindow(window time.Duration) {
@@ -103,9 +106,9 @@
 	case Request:
 		m.request(e)
 	case Cancel:
-		m.cancel(e.Attempt, false)
+		m.cancel(e.Attempt)
 	case ClaimTimeout:
-		m.cancel(e.Attempt, true)
+		m.claimTimeout(e)
 	case Records:
 		m.records(e)
 	case ReadFailed:
--- a/idempotency/machine_peer.go
+++ b/idempotency/machine_peer.go
@@ -38,7 +38,9 @@
 	case OutcomeNotRun:
 		// The key is free when the release is in the log; the owner appends
 		// it again for every question.
-		l.blocked = false
+		if l.blocked {
+			l.blocked, l.logSince = false, m.now
+		}
 		if l.nonce == 0 {
 			if err := m.mayClaim(l.key); err != nil {
 				m.fail(l, err)
--- a/idempotency/machine_request.go
+++ b/idempotency/machine_request.go
@@ -107,9 +107,6 @@
 	case m.fold.claims+len(m.local) >= m.cfg.MaxKeys:
 		return unavailable("too many remembered keys")
 	}
-	if m.appendFailed {
-		m.probeAt = m.now + m.cfg.RetryPause
-	}
 	return nil
 }
 
@@ -128,7 +125,11 @@
 	if m.lastNonce == 0 {
 		m.lastNonce++
 	}
-	l.nonce, l.placed, l.claimedAt = m.lastNonce, false, m.now
+	l.nonce, l.placed, l.claimedAt, l.logSince = m.lastNonce, false, m.now, m.now
+	if m.appendFailed {
+		// One claim at a time probes a log that refused an append.
+		m.probeAt = m.now + m.cfg.RetryPause
+	}
 	m.appendClaim(l)
 }
 
@@ -266,11 +267,19 @@
 	m.emit(Append{Ref: AppendRef{Type: RecordRelease, Hash: r.hash, Nonce: nonce}, Data: rec.Encode()})
 }
 
-// cancel ends an attempt. With onlyLog it does so only when the attempt waits
-// for the log and not for another execution.
-func (m *Machine) cancel(attempt uint64, onlyLog bool) {
+// claimTimeout ends an attempt that has waited too long for the log. Waiting
+// for another execution does not count.
+func (m *Machine) claimTimeout(e ClaimTimeout) {
+	l, ok := m.attempts[e.Attempt]
+	if ok && l.state == stateContending && !l.blocked && m.now-l.logSince >= e.Limit {
+		m.cancel(e.Attempt)
+	}
+}
+
+// cancel ends an attempt.
+func (m *Machine) cancel(attempt uint64) {
 	l, ok := m.attempts[attempt]
-	if !ok || onlyLog && (l.state != stateContending || l.blocked) {
+	if !ok {
 		return
 	}
 	delete(m.attempts, attempt)
