--- a/idempotency/config.go
+++ b/idempotency/config.go
@@ -17,10 +17,10 @@
 	DefaultLogStep = 10 * time.Second
 	// DefaultMaxResponseBytes keeps stored responses within the node's memory
 	// budget of 64 MB.
-	DefaultMaxResponseBytes = 16 << 20
+	DefaultMaxResponseBytes = 8 << 20
 	// DefaultMaxKeys keeps remembered keys within the same budget;
 	// docs/capacity-claims.md gives the bytes per key.
-	DefaultMaxKeys = 200_000
+	DefaultMaxKeys = 100_000
 	// DefaultRetryPause is the pause before an append is repeated.
 	DefaultRetryPause = 100 * time.Millisecond
 )
--- a/idempotency/local_key.go
+++ b/idempotency/local_key.go
@@ -4,7 +4,7 @@
 
 // localKey is a key that this process handles or has executed.
 type localKey struct {
-	key         Key
+	key         claimKey
 	fingerprint uint64
 	state       localState
 	// nonce is that of the own claim; 0 without one.
--- a/idempotency/machine.go
+++ b/idempotency/machine.go
@@ -60,6 +60,8 @@
 	// probeAt is when the next claim may be tried after a failed append.
 	probeAt      time.Duration
 	appendFailed bool
+	// inFlight counts appends that are not answered.
+	inFlight int
 	// recordAt is when the newest record was read.
 	recordAt     time.Duration
 	tickAt       time.Duration
--- a/idempotency/machine_log.go
+++ b/idempotency/machine_log.go
@@ -40,6 +40,7 @@
 }
 
 func (m *Machine) appendDone(ref AppendRef) {
+	m.inFlight--
 	m.appendFailed = false
 	switch ref.Type {
 	case RecordRelease:
@@ -52,6 +53,7 @@
 }
 
 func (m *Machine) appendFailure(ref AppendRef) {
+	m.inFlight--
 	m.appendFailed = true
 	m.probeAt = m.now + m.cfg.RetryPause
 	if ref.Type == RecordTick {
@@ -84,6 +86,9 @@
 func (m *Machine) tick() {
 	for m.retries.len() > 0 && m.retries.front().at <= m.now {
 		m.retry(m.retries.pop().ref)
+		if m.appendFailed {
+			break // the log is probed with one append per tick
+		}
 	}
 	for m.expiring.len() > 0 && m.expiring.front().at <= m.now {
 		l := m.expiring.pop().local
@@ -107,5 +112,10 @@
 	}
 	m.tickInFlight = true
 	m.tickAt = m.now + m.idleTick()
-	m.emit(Append{Ref: AppendRef{Type: RecordTick}, Data: Record{Type: RecordTick, Owner: m.self}.Encode()})
+	m.append(AppendRef{Type: RecordTick}, Record{Type: RecordTick, Owner: m.self})
+}
+
+func (m *Machine) append(ref AppendRef, r Record) {
+	m.inFlight++
+	m.emit(Append{Ref: ref, Data: r.Encode()})
 }
--- a/idempotency/machine_request.go
+++ b/idempotency/machine_request.go
@@ -16,7 +16,8 @@
 			return
 		}
 		if !m.issuer.genuine(e.Key) {
-			m.refuse(e.Attempt, kind.New(kind.KeyMalformed, "the key was not issued for this service"))
+			// An earlier guard of this process may have issued and executed it.
+			m.refuse(e.Attempt, claimLost("the key is not known to have been issued for this service"))
 			return
 		}
 	}
@@ -28,13 +29,13 @@
 		m.requestIssued(e)
 		return
 	}
-	l := &localKey{key: e.Key, fingerprint: e.Fingerprint}
+	l := &localKey{key: e.Key.claimKey(), fingerprint: e.Fingerprint}
 	if first, ok := m.fold.first(e.Key.Hash); ok {
 		if first.fingerprint != e.Fingerprint {
 			m.refuse(e.Attempt, keyReused())
 			return
 		}
-	} else if err := m.mayClaim(e.Key); err != nil {
+	} else if err := m.mayClaim(l.key); err != nil {
 		m.refuse(e.Attempt, err)
 		return
 	}
@@ -55,7 +56,7 @@
 		m.refuse(e.Attempt, kind.New(kind.ClaimUnavailable, "too many remembered keys"))
 		return
 	}
-	l := &localKey{key: e.Key, fingerprint: e.Fingerprint, claimedAt: m.now}
+	l := &localKey{key: e.Key.claimKey(), fingerprint: e.Fingerprint, claimedAt: m.now}
 	m.local[e.Key.Hash] = l
 	m.wait(l, e.Attempt)
 	m.grant(l)
@@ -92,7 +93,7 @@
 
 // mayClaim checks before the append whether a claim for key can succeed. The
 // decision is made when the claim is read back.
-func (m *Machine) mayClaim(key Key) *kind.Error {
+func (m *Machine) mayClaim(key claimKey) *kind.Error {
 	switch {
 	case key.Form == FormUUIDv7 && m.fold.expired(key.TimeMS):
 		return keyExpired()
@@ -100,7 +101,9 @@
 		return unavailable("the claims stream has not been read to its end")
 	case m.readFailing:
 		return unavailable("the claims stream cannot be read")
-	case m.appendFailed && m.now < m.probeAt:
+	case m.appendFailed && (m.inFlight > 0 || m.retries.len() > 0 || m.now < m.probeAt):
+		// One append at a time probes the log. Without this every request
+		// during an outage would leave a release to append.
 		return unavailable("claims cannot be appended")
 	case m.fold.gap || !m.fold.complete(key.Form, key.TimeMS, m.logTimeMS()):
 		return unavailable("claims that may concern the key are not known")
@@ -126,17 +129,13 @@
 		m.lastNonce++
 	}
 	l.nonce, l.placed, l.claimedAt, l.logSince = m.lastNonce, false, m.now, m.now
-	if m.appendFailed {
-		// One claim at a time probes a log that refused an append.
-		m.probeAt = m.now + m.cfg.RetryPause
-	}
 	m.appendClaim(l)
 }
 
 func (m *Machine) appendClaim(l *localKey) {
 	r := Record{Type: RecordClaim, Form: l.key.Form, TimeMS: l.key.TimeMS, Hash: l.key.Hash,
 		Fingerprint: l.fingerprint, Owner: m.self, Nonce: l.nonce}
-	m.emit(Append{Ref: AppendRef{Type: RecordClaim, Hash: l.key.Hash, Nonce: l.nonce}, Data: r.Encode()})
+	m.append(AppendRef{Type: RecordClaim, Hash: l.key.Hash, Nonce: l.nonce}, r)
 }
 
 // evaluate decides a contending key as far as the fold allows.
@@ -262,9 +261,9 @@
 	if r.inFlight {
 		return
 	}
-	r.inFlight, r.lastSent = true, m.now
+	r.inFlight, r.seen, r.lastSent = true, false, m.now
 	rec := Record{Type: RecordRelease, Hash: r.hash, Owner: m.self, Nonce: nonce}
-	m.emit(Append{Ref: AppendRef{Type: RecordRelease, Hash: r.hash, Nonce: nonce}, Data: rec.Encode()})
+	m.append(AppendRef{Type: RecordRelease, Hash: r.hash, Nonce: nonce}, rec)
 }
 
 // claimTimeout ends an attempt that has waited too long for the log. Waiting
