--- a/idempotency/machine.go
+++ b/idempotency/machine.go
@@ -60,6 +60,8 @@
 	// probeAt is when the next claim may be tried after a failed append.
 	probeAt      time.Duration
 	appendFailed bool
+	// inFlight counts appends that are not answered.
+	inFlight int
 	// recordAt is when the newest record was read.
 	recordAt     time.Duration
 	tickAt       time.Duration
@@ -82,6 +84,9 @@
 // Next returns the offset to read from.
 func (m *Machine) Next() uint64 { return m.fold.next }
 
+// Window returns Config.Window.
+func (m *Machine) Window() time.Duration { return m.cfg.Window }
+
 // SetWindow changes Config.Window. A longer window is honoured for a key only
 // when all claims since the key's time are known.
 func (m *Machine) SetWindow(window time.Duration) {
@@ -103,9 +108,9 @@
 	case Request:
 		m.request(e)
 	case Cancel:
-		m.cancel(e.Attempt, false)
+		m.cancel(e.Attempt)
 	case ClaimTimeout:
-		m.cancel(e.Attempt, true)
+		m.claimTimeout(e)
 	case Records:
 		m.records(e)
 	case ReadFailed:
--- a/idempotency/machine_request.go
+++ b/idempotency/machine_request.go
@@ -16,7 +16,8 @@
 			return
 		}
 		if !m.issuer.genuine(e.Key) {
-			m.refuse(e.Attempt, kind.New(kind.KeyMalformed, "the key was not issued for this service"))
+			// An earlier guard of this process may have issued and executed it.
+			m.refuse(e.Attempt, claimLost("the key is not known to have been issued for this service"))
 			return
 		}
 	}
@@ -28,13 +29,13 @@
 		m.requestIssued(e)
 		return
 	}
-	l := &localKey{key: e.Key, fingerprint: e.Fingerprint}
+	l := &localKey{key: e.Key.claimKey(), fingerprint: e.Fingerprint}
 	if first, ok := m.fold.first(e.Key.Hash); ok {
 		if first.fingerprint != e.Fingerprint {
 			m.refuse(e.Attempt, keyReused())
 			return
 		}
-	} else if err := m.mayClaim(e.Key); err != nil {
+	} else if err := m.mayClaim(l.key); err != nil {
 		m.refuse(e.Attempt, err)
 		return
 	}
@@ -55,7 +56,7 @@
 		m.refuse(e.Attempt, kind.New(kind.ClaimUnavailable, "too many remembered keys"))
 		return
 	}
-	l := &localKey{key: e.Key, fingerprint: e.Fingerprint, claimedAt: m.now}
+	l := &localKey{key: e.Key.claimKey(), fingerprint: e.Fingerprint, claimedAt: m.now}
 	m.local[e.Key.Hash] = l
 	m.wait(l, e.Attempt)
 	m.grant(l)
@@ -92,7 +93,7 @@
 
 // mayClaim checks before the append whether a claim for key can succeed. The
 // decision is made when the claim is read back.
-func (m *Machine) mayClaim(key Key) *kind.Error {
+func (m *Machine) mayClaim(key claimKey) *kind.Error {
 	switch {
 	case key.Form == FormUUIDv7 && m.fold.expired(key.TimeMS):
 		return keyExpired()
@@ -100,16 +101,15 @@
 		return unavailable("the claims stream has not been read to its end")
 	case m.readFailing:
 		return unavailable("the claims stream cannot be read")
-	case m.appendFailed && m.now < m.probeAt:
+	case m.appendFailed && (m.inFlight > 0 || m.retries.len() > 0 || m.now < m.probeAt):
+		// One append at a time probes the log. Without this every request
+		// during an outage would leave a release to append.
 		return unavailable("claims cannot be appended")
 	case m.fold.gap || !m.fold.complete(key.Form, key.TimeMS, m.logTimeMS()):
 		return unavailable("claims that may concern the key are not known")
 	case m.fold.claims+len(m.local) >= m.cfg.MaxKeys:
 		return unavailable("too many remembered keys")
 	}
-	if m.appendFailed {
-		m.probeAt = m.now + m.cfg.RetryPause
-	}
 	return nil
 }
 
@@ -128,14 +128,14 @@
 	if m.lastNonce == 0 {
 		m.lastNonce++
 	}
-	l.nonce, l.placed, l.claimedAt = m.lastNonce, false, m.now
+	l.nonce, l.placed, l.claimedAt, l.logSince = m.lastNonce, false, m.now, m.now
 	m.appendClaim(l)
 }
 
 func (m *Machine) appendClaim(l *localKey) {
 	r := Record{Type: RecordClaim, Form: l.key.Form, TimeMS: l.key.TimeMS, Hash: l.key.Hash,
 		Fingerprint: l.fingerprint, Owner: m.self, Nonce: l.nonce}
-	m.emit(Append{Ref: AppendRef{Type: RecordClaim, Hash: l.key.Hash, Nonce: l.nonce}, Data: r.Encode()})
+	m.append(AppendRef{Type: RecordClaim, Hash: l.key.Hash, Nonce: l.nonce}, r)
 }
 
 // evaluate decides a contending key as far as the fold allows.
@@ -261,16 +261,24 @@
 	if r.inFlight {
 		return
 	}
-	r.inFlight, r.lastSent = true, m.now
+	r.inFlight, r.seen, r.lastSent = true, false, m.now
 	rec := Record{Type: RecordRelease, Hash: r.hash, Owner: m.self, Nonce: nonce}
-	m.emit(Append{Ref: AppendRef{Type: RecordRelease, Hash: r.hash, Nonce: nonce}, Data: rec.Encode()})
+	m.append(AppendRef{Type: RecordRelease, Hash: r.hash, Nonce: nonce}, rec)
+}
+
+// claimTimeout ends an attempt that has waited too long for the log. Waiting
+// for another execution does not count.
+func (m *Machine) claimTimeout(e ClaimTimeout) {
+	l, ok := m.attempts[e.Attempt]
+	if ok && l.state == stateContending && !l.blocked && m.now-l.logSince >= e.Limit {
+		m.cancel(e.Attempt)
+	}
 }
 
-// cancel ends an attempt. With onlyLog it does so only when the attempt waits
-// for the log and not for another execution.
-func (m *Machine) cancel(attempt uint64, onlyLog bool) {
+// cancel ends an attempt.
+func (m *Machine) cancel(attempt uint64) {
 	l, ok := m.attempts[attempt]
-	if !ok || onlyLog && (l.state != stateContending || l.blocked) {
+	if !ok {
 		return
 	}
 	delete(m.attempts, attempt)
