Learn from refusals by importance and from calls that ended without a response

A refusal of a less important call raised the cost for important ones. A target that let deadlines expire was never ejected when it was slow only by itself, and its latency was forgotten because nothing came back. At the end of long chains no allowance is left, so no ejected target there was ever probed.

--- a/internal/replay/forward.go
+++ b/internal/replay/forward.go
@@ -96,7 +96,7 @@
 	n, w := f.node, f.node.w
 	in := routing.PickInput{
 		Exclude: f.tried, FailureDomain: n.target.domain, Pinned: f.pinned, Importance: f.request.importance,
-		MayProbe: f.request.op.Retryable && f.grant.more(),
+		MayProbe: f.request.op.Retryable,
 	}
 	if f.request.crashes > 0 {
 		in.Designated = f.request.fingerprint
--- a/routing/cost.go
+++ b/routing/cost.go
@@ -17,6 +17,9 @@
 	// maxLatencyFactor bounds the influence of latency, so that a target with
 	// one slow response still gets the calls that correct its average.
 	maxLatencyFactor = 4
+	// outlierLatency is the multiple of the mean latency from which a target
+	// that lets deadlines expire counts as failing.
+	outlierLatency = 2
 	// refusalHalfLife is about the time in which a queue of one queue timeout
 	// drains.
 	refusalHalfLife = 200 * time.Millisecond
@@ -30,7 +33,7 @@
 // It is the expected utilization times a factor for latency and a factor for
 // recent refusals.
 func (t *Table) cost(g *target, now time.Time, importance int) float64 {
-	return (idleCost + t.utilization(g, now, importance)) * t.latencyFactor(g, now) * (1 + g.refusalsAt(now))
+	return (idleCost + t.utilization(g, now, importance)) * t.latencyFactor(g, now) * (1 + g.refusalsAt(now, importance))
 }
 
 // utilization estimates the work at a target over its limit. A reported load
@@ -84,11 +87,29 @@
 	return math.Pow(ratio, halved(1, now.Sub(g.latencyAt), latencyHalfLife))
 }
 
-func (g *target) refusalsAt(now time.Time) float64 {
-	if g.refusals == 0 {
+// learnAtLeast enters the latency of a call that ended without a response.
+func (t *Table) learnAtLeast(g *target, now time.Time, latency time.Duration) {
+	if latency.Seconds() > g.latency {
+		t.learnLatency(g, now, latency)
+	}
+}
+
+// isOutlier reports whether a target is much slower than the mean.
+func (t *Table) isOutlier(g *target) bool {
+	return g.latency > outlierLatency*t.meanLatency
+}
+
+// refusalsAt returns the recent refusals of calls that were at least as
+// important. Under strict priority the others say nothing.
+func (g *target) refusalsAt(now time.Time, importance int) float64 {
+	if g.refusedAt.IsZero() {
 		return 0
 	}
-	return halved(g.refusals, now.Sub(g.refusedAt), refusalHalfLife)
+	n := 0.0
+	for _, r := range g.refusals[:clamp(importance)+1] {
+		n += r
+	}
+	return min(halved(n, now.Sub(g.refusedAt), refusalHalfLife), maxRefusals)
 }
 
 func (t *Table) learnLoad(g *target, now time.Time, load Load) {
@@ -115,8 +136,13 @@
 	t.meanLatency += meanWeight * (s - t.meanLatency)
 }
 
-func (g *target) learnRefusal(now time.Time) {
-	g.refusals = min(g.refusalsAt(now)+1, maxRefusals)
+func (g *target) learnRefusal(now time.Time, importance int) {
+	left := halved(1, now.Sub(g.refusedAt), refusalHalfLife)
+	for i := range g.refusals {
+		g.refusals[i] *= left
+	}
+	i := clamp(importance)
+	g.refusals[i] = min(g.refusals[i]+1, maxRefusals)
 	g.refusedAt = now
 }
 
--- a/routing/outlier.go
+++ b/routing/outlier.go
@@ -106,7 +106,7 @@
 	g.ejected, g.failures, g.restoredAt = false, 0, now
 	g.unanswered, g.quietSince = 0, now
 	// The restored target looks idle; the penalty keeps it from being flooded.
-	g.learnRefusal(now)
+	g.learnRefusal(now, 0)
 	t.stale = true
 }
 
@@ -158,6 +158,11 @@
 		if now.Before(g.nextProbe) || !g.open(now) || in.excludes(g) {
 			continue
 		}
+		// A probe that fails costs its request: for one back-off, wait for a
+		// request that is not more important than most.
+		if float64(in.Importance) < t.meanImportance && now.Before(g.nextProbe.Add(g.backoff)) {
+			continue
+		}
 		g.backoff = min(2*g.backoff, t.options.ProbeMax)
 		g.nextProbe = now.Add(t.jittered(g))
 		return g
--- a/routing/pick_input.go
+++ b/routing/pick_input.go
@@ -20,6 +20,8 @@
 	// important does not delay the call and so does not count against a target.
 	Importance int
 	// MayProbe allows the call to probe an ejected target. The caller sets it
-	// only for retryable requests that have retry allowance left.
+	// for retryable requests only. It does not ask for retry allowance: the
+	// calls at the end of a long chain have none left, and without them no
+	// target there would be probed.
 	MayProbe bool
 }
--- a/routing/table.go
+++ b/routing/table.go
@@ -23,6 +23,8 @@
 	meanOthers  float64
 	meanAhead   [importances]float64
 	meanLatency float64
+	// meanImportance is the mean importance of recent calls.
+	meanImportance float64
 
 	// The subset in use: the targets in the node's own failure domain, the
 	// others, and the ejected targets to probe.
@@ -97,6 +99,7 @@
 	}
 	g.own++
 	g.ownBy[clamp(importance)]++
+	t.meanImportance += meanWeight * (float64(importance) - t.meanImportance)
 	g.unanswered++
 }
 
@@ -119,9 +122,14 @@
 		g.quietSince, g.unanswered = now, 0
 	}
 	v := judge(&r)
-	if r.Kind == kind.DeadlineExpired && v == failure && g.quietSince.After(now.Add(-r.Latency)) {
-		// Something came back since the call began: the target is slow, and
-		// ejecting it would move its load to others that are slow as well.
+	if r.Kind == kind.DeadlineExpired && v == failure || r.Kind == kind.Canceled {
+		// The response would have taken longer than this.
+		t.learnAtLeast(g, now, r.Latency)
+	}
+	if r.Kind == kind.DeadlineExpired && v == failure && g.quietSince.After(now.Add(-r.Latency)) && !t.isOutlier(g) {
+		// Something came back since the call began, and the target is not much
+		// slower than the others: ejecting it would move its load to targets
+		// that are slow as well.
 		v = refusal
 	}
 	switch v {
@@ -135,7 +143,7 @@
 		}
 	case refusal:
 		g.failures = 0
-		g.learnRefusal(now)
+		g.learnRefusal(now, r.Importance)
 		if g.ejected && g.silent {
 			t.restore(g, now)
 		}
--- a/routing/target.go
+++ b/routing/target.go
@@ -26,8 +26,8 @@
 	latency   float64 // seconds; 0 means no sample
 	latencyAt time.Time
 
-	// refusals is a count that halves every refusalHalfLife.
-	refusals  float64
+	// refusals counts by importance; each halves every refusalHalfLife.
+	refusals  [importances]float64
 	refusedAt time.Time
 
 	failures int
