Compare targets by reported service time instead of response time

Response times mix classes with different waits, so they differed between targets that were equally fast. Nodes report the mean service time of their target; differences below one half are ignored as noise. Response times are still used where no service time is reported.

--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -299,7 +299,7 @@
 		reply: p, unused: unused, visited: visited, levels: mergeLevels([]serviceLevel{own}, s.levels),
 		load: &routing.Load{
 			InFlight: stats.Running, Waiting: stats.Waiting, Limit: stats.Limit, Draining: n.draining,
-			ByImportance: slices.Clone(n.byImportance[:]),
+			ByImportance: slices.Clone(n.byImportance[:]), ServiceTime: n.limiter.ServiceTime(),
 		},
 	}
 }
--- a/routing/cost.go
+++ b/routing/cost.go
@@ -12,6 +12,12 @@
 	idleCost = 0.25
 	// latencyWeight is the weight of a new sample in the moving average.
 	latencyWeight = 0.1
+	// serviceTimeHalfLife smooths reported service times, whose means are over
+	// few requests.
+	serviceTimeHalfLife = 500 * time.Millisecond
+	// latencyNoise is the ratio of two latencies up to which they count as
+	// equal. Within it, balancing by load does better.
+	latencyNoise = 1.5
 	// latencyHalfLife is the age at which a latency counts half.
 	latencyHalfLife = 2 * time.Second
 	// maxLatencyFactor bounds the influence of latency, so that a target with
@@ -84,6 +90,9 @@
 		return 1
 	}
 	ratio := min(max(g.latency/t.meanLatency, 1.0/maxLatencyFactor), maxLatencyFactor)
+	if ratio > 1/latencyNoise && ratio < latencyNoise {
+		return 1
+	}
 	return math.Pow(ratio, halved(1, now.Sub(g.latencyAt), latencyHalfLife))
 }
 
@@ -114,6 +123,12 @@
 
 func (t *Table) learnLoad(g *target, now time.Time, load Load) {
 	g.load, g.loadAt, g.ownAtLoad, g.ownByAtLoad = load, now, g.own, g.ownBy
+	if load.ServiceTime > 0 {
+		// Reports come with every refusal as well, so their weight follows from
+		// time: many reports of one mean say no more than one.
+		weight := 1 - halved(1, now.Sub(g.latencyAt), serviceTimeHalfLife)
+		t.enterLatency(g, now, load.ServiceTime, weight)
+	}
 	t.meanOthers += meanWeight * (g.othersAtLoad() - t.meanOthers)
 	for i := range t.meanAhead {
 		t.meanAhead[i] += meanWeight * (g.aheadAtLoad(i) - t.meanAhead[i])
@@ -121,6 +136,10 @@
 }
 
 func (t *Table) learnLatency(g *target, now time.Time, latency time.Duration) {
+	t.enterLatency(g, now, latency, latencyWeight)
+}
+
+func (t *Table) enterLatency(g *target, now time.Time, latency time.Duration, weight float64) {
 	s := latency.Seconds()
 	if s <= 0 {
 		return
@@ -128,12 +147,12 @@
 	if g.latency == 0 {
 		g.latency = s
 	}
-	g.latency += latencyWeight * (s - g.latency)
+	g.latency += weight * (s - g.latency)
 	g.latencyAt = now
 	if t.meanLatency == 0 {
 		t.meanLatency = s
 	}
-	t.meanLatency += meanWeight * (s - t.meanLatency)
+	t.meanLatency += weight / float64(len(t.ranking)) * (s - t.meanLatency)
 }
 
 func (g *target) learnRefusal(now time.Time, importance int) {
--- a/routing/table.go
+++ b/routing/table.go
@@ -122,7 +122,7 @@
 		g.quietSince, g.unanswered = now, 0
 	}
 	v := judge(&r)
-	if r.Kind == kind.DeadlineExpired && v == failure || r.Kind == kind.Canceled {
+	if g.load.ServiceTime == 0 && (r.Kind == kind.DeadlineExpired && v == failure || r.Kind == kind.Canceled) {
 		// The response would have taken longer than this.
 		t.learnAtLeast(g, now, r.Latency)
 	}
@@ -135,7 +135,9 @@
 	switch v {
 	case success:
 		g.failures = 0
-		t.learnLatency(g, now, r.Latency)
+		if r.Load == nil || r.Load.ServiceTime == 0 {
+			t.learnLatency(g, now, r.Latency)
+		}
 		// A response to a call from before the ejection proves only that a
 		// silent target is not silent any more.
 		if g.ejected && (g.silent || !now.Add(-r.Latency).Before(g.ejectedAt)) {
