End an ejection for calls without a response on a refusal as well

A refusal shows that the target's node can be reached again. Before, the refusals that probes get under overload kept reachable targets ejected.

--- a/routing/table.go
+++ b/routing/table.go
@@ -152,7 +152,7 @@
 	case failure:
 		g.failures++
 		if g.failures >= t.options.EjectAfter {
-			t.eject(g, now, false)
+			t.eject(g, now, r.Load == nil && r.Kind != "")
 		}
 	case closedDraining:
 		t.closeUntil(g, now.Add(drainingClosed))
--- a/routing/target.go
+++ b/routing/target.go
@@ -40,8 +40,10 @@
 	// work although the membership calls it ready.
 	closedUntil time.Time
 
-	ejected    bool
-	silent     bool // ejected for silence, not for failures
+	ejected bool
+	// silent says that the ejection is for calls without any response, so that
+	// a refusal ends it as well.
+	silent     bool
 	ejectedAt  time.Time
 	restoredAt time.Time
 	backoff    time.Duration
