--- a/limit/constants.go
+++ b/limit/constants.go
@@ -34,8 +34,8 @@
 
 	// saturated is the share of the limit in use above which it is binding.
 	saturated = 0.9
-	// riseFactor over the baseline in two windows begins a trial: 3 standard
-	// errors of a window's mean.
+	// riseFactor over the baseline in two windows begins a trial; in a window of
+	// few samples the factor is 3 standard errors of the mean.
 	riseFactor = 1.3
 	// fallFactor below the baseline in two windows resets the baseline.
 	fallFactor = 0.75
@@ -78,7 +78,7 @@
 	maxRaiseWait = 750 * time.Millisecond
 	// Waits between trials that lower and were reverted. A reverted trial costs
 	// up to 30% of the goodput for about 100 ms.
-	minLowerWait = 2 * time.Second
+	minLowerWait = time.Second
 	maxLowerWait = 16 * time.Second
 	// startDoubts is how often a baseline from full concurrency is tested after a
 	// start without a ramp. One trial is wrong too often: its first window holds
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -36,7 +36,10 @@
 	// requests that were not refused.
 	service, response time.Duration
 	window            window
-	trial             *trial
+	// recent sums the windows since the limit last changed, with weights that
+	// halve.
+	recent window
+	trial  *trial
 
 	raiseStep            float64
 	raiseWait, lowerWait time.Duration
@@ -179,35 +182,37 @@
 		if w.badShare() >= hopeless {
 			l.limit = max(limit*badFactor, float64(l.config.MinLimit))
 			l.nextRaise = now.Add(l.raiseWait)
-			l.window = window{began: now.Add(l.response)}
+			l.window, l.recent = window{began: now.Add(l.response)}, window{}
 		} else {
 			l.begin(now, causeBad, limit*badFactor, w)
 		}
 		return
 	}
 	age := now.Sub(w.began)
-	if w.n < minSamples || w.n < steadySamples && age < steadyTime {
+	if !w.long(now) || w.n < steadySamples && age < steadyTime {
 		return
 	}
 	l.window = window{began: now}
 	busy := w.concurrency() >= saturated*limit
-	l.follow(w.latency(), age, busy)
+	l.follow(&w, age, busy)
+	l.recent.merge(&w)
 	switch {
 	case !busy:
 		// The limit is not in use, so nothing can be measured and nothing be lost.
 		if l.limit < float64(l.config.Slots) && l.high == 0 && !l.failing(&w) {
 			l.limit = min(max(l.limit*idleRaise, l.limit+1), float64(l.config.Slots))
 		}
-	case (l.high >= 2 || l.doubts > 0 || l.doubted) && int(limit*lowerFactor) >= l.config.MinLimit && !now.Before(l.nextLower):
+	case (l.high >= 2 || l.doubts > 0 || l.doubted) && limit > float64(l.config.MinLimit) && !now.Before(l.nextLower):
 		l.high = 0
-		l.begin(now, causeLatency, limit*lowerFactor, w)
+		l.begin(now, causeLatency, min(math.Ceil(limit*lowerFactor), limit-1), w)
 	case l.limit < float64(l.ceiling()) && !now.Before(l.nextRaise):
-		l.begin(now, causeRaise, max(limit*raiseStep(l.raiseStep, w.goodput()), limit+1), w)
+		l.begin(now, causeRaise, max(limit*raiseStep(l.raiseStep, w.goodput()), limit+1), l.recent)
 	}
 }
 
 // follow updates the baseline with the mean latency of a window.
-func (l *Limiter) follow(latency, age time.Duration, busy bool) {
+func (l *Limiter) follow(w *window, age time.Duration, busy bool) {
+	latency := w.latency()
 	if latency == 0 {
 		return
 	}
@@ -219,7 +224,7 @@
 	}
 	ratio := float64(latency) / float64(l.baseline)
 	switch {
-	case ratio > riseFactor:
+	case ratio > max(riseFactor, 1+3/math.Sqrt(float64(w.n))):
 		l.high, l.low = l.high+1, 0
 	case ratio < fallFactor:
 		l.high, l.low = 0, l.low+1
@@ -288,6 +293,10 @@
 	l.doubts = max(l.doubts-1, 0)
 	// Lower concurrency did not help: this is the latency without queueing.
 	if latency := (t.before.latency() + t.after.latency()) / 2; t.after.n > 0 && latency > 0 {
+		if float64(latency) > riseFactor*float64(l.baseline) {
+			// A wrong lesson would hide a queue for as long as it lasts.
+			l.doubts = max(l.doubts, 1)
+		}
 		l.baseline = latency
 	}
 }
@@ -312,7 +321,7 @@
 
 // end returns to the limit that was learned before the trial.
 func (l *Limiter) end(now time.Time) {
-	l.trial = nil
+	l.trial, l.recent = nil, window{}
 	// What ends before then still ran at the limit of the trial.
 	l.window = window{began: now.Add(l.response)}
 }
--- a/limit/trial.go
+++ b/limit/trial.go
@@ -75,7 +75,7 @@
 		return false
 	}
 	t.after.add(s, bad)
-	return t.after.n >= t.needed() || t.after.n >= minSamples && elapsed >= trialTime+4*response
+	return t.after.long(now) && (t.after.n >= t.needed() || elapsed >= trialTime+4*response)
 }
 
 // overdue reports that too few samples came for a decision.
--- a/limit/window.go
+++ b/limit/window.go
@@ -35,6 +35,18 @@
 
 func (w *window) badShare() float64 { return float64(w.bad) / float64(max(w.n, 1)) }
 
+// merge adds a newer window and halves the weight of the older ones.
+func (w *window) merge(newer *window) {
+	w.n, w.good, w.bad, w.served = w.n/2+newer.n, w.good/2+newer.good, w.bad/2+newer.bad, w.served/2+newer.served
+	w.own, w.total, w.inFlight = w.own/2+newer.own, w.total/2+newer.total, w.inFlight/2+newer.inFlight
+}
+
+// long reports that the window spans a response time and enough samples; in a
+// shorter one the concurrency and the times have not settled.
+func (w *window) long(now time.Time) bool {
+	return w.n >= minSamples && now.Sub(w.began) >= w.response()
+}
+
 // concurrency is the mean number of requests in flight.
 func (w *window) concurrency() float64 { return float64(w.inFlight) / float64(max(w.n, 1)) }
 
