Replay crashing requests through the quarantine

Requests in flight at a target that dies become suspects on every node within the gossip delay; a suspect runs alone on its designated target and is not sent elsewhere, and the report of the crash is held back for a second.

--- a/internal/replay/forward.go
+++ b/internal/replay/forward.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/goldcrestsail/goldcrestsail/chain"
 	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/quarantine"
 	"github.com/goldcrestsail/goldcrestsail/retry"
 	"github.com/goldcrestsail/goldcrestsail/routing"
 )
@@ -85,6 +86,8 @@
 	tried   []routing.TargetID
 	current *peerCall
 	over    bool
+	// suspect says that only the designated target may run the request.
+	suspect bool
 	// mayHaveRun reports that an earlier attempt may have run, so that a
 	// refusal of a later one must not be passed on as not run.
 	mayHaveRun bool
@@ -98,16 +101,16 @@
 		Exclude: f.tried, FailureDomain: n.target.domain, Pinned: f.pinned, Importance: f.request.importance,
 		MayProbe: f.request.op.Retryable,
 	}
-	if f.request.crashes > 0 {
-		in.Designated = f.request.fingerprint
+	switch n.quarantine.Check(w.now, quarantine.Fingerprint(f.request.fingerprint)).State {
+	case quarantine.Quarantined:
+		f.refuse(kind.Quarantined)
+		return
+	case quarantine.Suspect:
+		in.Designated, f.suspect = f.request.fingerprint, true
 	}
 	id, err := n.routes[f.request.op.Service].Pick(n.rng, w.now, in)
 	if err != nil {
-		p := refusal(kind.Of(err).Kind)
-		if f.mayHaveRun {
-			p.run = kind.MayHaveRun
-		}
-		f.finish(peerReply{reply: p}, chain.Outcome{})
+		f.refuse(kind.Of(err).Kind)
 		return
 	}
 	f.tried = append(f.tried, id)
@@ -115,6 +118,15 @@
 	f.current = n.call(n.layer.byID[id], f.request, f.responded)
 }
 
+// refuse ends the call without an attempt.
+func (f *forward) refuse(k kind.Kind) {
+	p := refusal(k)
+	if f.mayHaveRun {
+		p.run = kind.MayHaveRun
+	}
+	f.finish(peerReply{reply: p}, chain.Outcome{})
+}
+
 // responded handles the end of an attempt: a retry while the kind, the class,
 // the allowance and the budget of the service permit one.
 func (f *forward) responded(p *peerReply, lost kind.Kind) {
@@ -131,7 +143,7 @@
 	row := kind.AnswerFor(p.kind)
 	f.mayHaveRun = f.mayHaveRun || p.run != kind.NotRun
 	again := p.kind != "" && row.Retry && (!f.mayHaveRun || f.request.op.Retryable) &&
-		f.pinned == "" && now.Before(f.request.deadline) && f.grant.more()
+		f.pinned == "" && !f.suspect && now.Before(f.request.deadline) && f.grant.more()
 	if !again || !n.budgets[f.request.op.Service].Retry(now) {
 		f.finish(*p, out)
 		return
--- a/internal/replay/layer.go
+++ b/internal/replay/layer.go
@@ -76,7 +76,7 @@
 	l.chainIDs++
 	request := peerRequest{
 		op: r.op, attempt: a, chainID: strconv.FormatUint(l.chainIDs, 16), importance: r.op.Importance,
-		class: r.op.Class, deadline: a.deadline.Add(-l.w.clientLatency()), fingerprint: r.fingerprint(),
+		class: r.op.Class, deadline: a.deadline.Add(-l.w.clientLatency()), fingerprint: r.fingerprint(r.op),
 	}
 	verdict := n.shed.Check(shedding.Request{
 		Service: r.op.Service, Class: r.op.Class, Importance: r.op.Importance,
@@ -106,7 +106,7 @@
 func (l *layer) subCall(parent *job, op *Operation, done func(reply)) func() {
 	s := parent.context.(*served)
 	n, now := s.node, l.w.now
-	fingerprint := chain.Fingerprint(op.Method, op.Service, op.Path, "", 0)
+	fingerprint := parent.attempt.request.fingerprint(op)
 	granted, err := n.chains.BeginCall(now, s.token, chain.Call{
 		Service: op.Service, Fingerprint: fingerprint, MaxDepth: n.policies[op.Service].MaxDepth,
 	})
@@ -153,15 +153,21 @@
 	for _, n := range l.nodes {
 		delay := time.Duration(0)
 		if n.target != t {
-			pair := uint64(n.target.index)*4096 + uint64(t.index)
-			delay = gossipMin + time.Duration(l.w.fraction("gossip", pair)*float64(gossipSpread))
+			delay = l.gossipDelay(l.nodes[t.index], n)
 		}
 		state := t.state
 		l.w.after(delay, func() { n.learn(t, state) })
 	}
 }
 
+// gossipDelay is how long news of one node takes to reach another.
+func (l *layer) gossipDelay(from, to *node) time.Duration {
+	pair := uint64(to.target.index)*4096 + uint64(from.target.index)
+	return gossipMin + time.Duration(l.w.fraction("gossip", pair)*float64(gossipSpread))
+}
+
 func (l *layer) died(t *target) {
+	l.nodes[t.index].reportCrash()
 	l.nodes[t.index].refuseWaiting()
 	l.stateChanged(t)
 }
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -14,6 +14,7 @@
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/limit"
 	"github.com/goldcrestsail/goldcrestsail/policy"
+	"github.com/goldcrestsail/goldcrestsail/quarantine"
 	"github.com/goldcrestsail/goldcrestsail/retry"
 	"github.com/goldcrestsail/goldcrestsail/routing"
 	"github.com/goldcrestsail/goldcrestsail/shedding"
@@ -24,17 +25,18 @@
 // node is the node beside one target: the decision packages and the path of a
 // call between them.
 type node struct {
-	w        *world
-	layer    *layer
-	target   *target
-	rng      *rand.Rand
-	policies map[string]*policy.Policy
-	routes   map[string]*routing.Table
-	budgets  map[string]*retry.Budget
-	queue    *admission.Queue
-	limiter  *limit.Limiter
-	chains   *chain.Table
-	shed     *shedding.Table
+	w          *world
+	layer      *layer
+	target     *target
+	rng        *rand.Rand
+	policies   map[string]*policy.Policy
+	routes     map[string]*routing.Table
+	budgets    map[string]*retry.Budget
+	queue      *admission.Queue
+	limiter    *limit.Limiter
+	chains     *chain.Table
+	shed       *shedding.Table
+	quarantine *quarantine.Table
 	// claims is nil when the service has no non-idempotent class.
 	claims *claims
 
@@ -56,7 +58,9 @@
 	id    admission.ID
 	token chain.Token
 	// claim is the token of the idempotency key, or 0.
-	claim   uint64
+	claim uint64
+	// trial says that the request is a suspect that runs alone.
+	trial   bool
 	request peerRequest
 	arrived time.Time
 	job     *job
@@ -70,7 +74,7 @@
 		w: l.w, layer: l, target: t, rng: l.newRand(t), policies: map[string]*policy.Policy{},
 		routes: map[string]*routing.Table{}, budgets: map[string]*retry.Budget{},
 		chains: chain.NewTable(chain.Config{}), shed: shedding.NewTable(shedding.Config{}),
-		served: map[admission.ID]*served{},
+		served: map[admission.ID]*served{}, quarantine: quarantine.New(quarantine.Config{Reporter: uint64(t.index) + 1}.WithDefaults()),
 	}
 	for i := range l.w.head.Services {
 		s := &l.w.head.Services[i]
@@ -91,6 +95,7 @@
 		n.claims = newClaims(n)
 	}
 	n.tick()
+	n.tickQuarantine()
 	return n
 }
 
@@ -108,6 +113,37 @@
 	}
 }
 
+// propagationTime is how long the report of a crash is held back.
+const propagationTime = time.Second
+
+func (n *node) tickQuarantine() {
+	n.publish(n.quarantine.Tick(n.w.now))
+	n.w.after(propagationTime/2, n.tickQuarantine)
+}
+
+// publish spreads entries of the quarantine within the time of the gossip.
+func (n *node) publish(effects []quarantine.Effect) {
+	for _, effect := range effects {
+		entry := effect.(quarantine.Publish).Entry
+		for _, other := range n.layer.nodes {
+			if other != n {
+				n.w.after(n.layer.gossipDelay(n, other), func() { other.quarantine.Merge(n.w.now, entry) })
+			}
+		}
+	}
+}
+
+// reportCrash makes suspects of the requests that the target had.
+func (n *node) reportCrash() {
+	var inFlight []quarantine.Fingerprint
+	for _, id := range slices.Sorted(maps.Keys(n.served)) {
+		if s := n.served[id]; s.job != nil {
+			inFlight = append(inFlight, quarantine.Fingerprint(s.request.fingerprint))
+		}
+	}
+	n.publish(n.quarantine.Crashed(n.w.now, inFlight))
+}
+
 // refuseWaiting refuses every request that the target has not got.
 func (n *node) refuseWaiting() {
 	n.starting = true
@@ -149,6 +185,18 @@
 		s.refuse(kind.Starting)
 		return nil
 	}
+	f := quarantine.Fingerprint(r.fingerprint)
+	switch n.quarantine.Check(n.w.now, f).State {
+	case quarantine.Quarantined:
+		s.refuse(kind.Quarantined)
+		return nil
+	case quarantine.Suspect:
+		if !n.quarantine.BeginTrial(n.w.now, f) {
+			s.refuse(kind.Shed)
+			return nil
+		}
+		s.trial = true
+	}
 	n.nextID++
 	s.id = n.nextID
 	if r.op.NonIdempotent {
@@ -257,6 +305,8 @@
 // finished returns the response of the target.
 func (s *served) finished(p reply) {
 	summary := s.leave(false)
+	s.trial = false
+	s.node.publish(s.node.quarantine.Completed(s.node.w.now, quarantine.Fingerprint(s.request.fingerprint)))
 	if s.claim != 0 {
 		s.node.claims.step(idempotency.Finish{Token: s.claim, Response: p.encode()})
 	}
@@ -283,15 +333,25 @@
 	if s.claim != 0 {
 		s.node.claims.step(idempotency.Lost{Token: s.claim})
 	}
-	s.respond(s.reply(refusal(kind.TargetCrashed), 0, nil))
+	// Held back, so that every node knows of the suspicion when the caller sends
+	// the request again.
+	s.node.w.after(propagationTime, func() { s.respond(s.reply(refusal(kind.TargetCrashed), 0, nil)) })
 }
 
 // refuse answers that the request was not run.
 func (s *served) refuse(k kind.Kind) {
+	s.endTrial()
 	s.release()
 	s.respond(s.reply(refusal(k).notRun(), s.request.allowance, nil))
 }
 
+func (s *served) endTrial() {
+	if s.trial {
+		s.node.quarantine.EndTrial(quarantine.Fingerprint(s.request.fingerprint))
+		s.trial = false
+	}
+}
+
 // release gives up the claim of a request that the target has not got.
 func (s *served) release() {
 	if s.claim != 0 {
@@ -334,12 +394,14 @@
 	if s.job == nil {
 		n.forget(s)
 		s.release()
+		s.endTrial()
 		n.decide(n.queue.Cancel(n.w.now, s.id))
 		return
 	}
 	if s.request.op.NonIdempotent {
 		return
 	}
+	s.endTrial()
 	n.target.cancel(s.job)
 	s.leave(true)
 }
--- a/internal/replay/peer_call.go
+++ b/internal/replay/peer_call.go
@@ -21,7 +21,6 @@
 	deadline    time.Time
 	allowance   int
 	fingerprint uint64
-	crashes     int
 }
 
 // rank orders the request in the queue of a target.
--- a/internal/replay/request.go
+++ b/internal/replay/request.go
@@ -29,11 +29,12 @@
 	return r.id*0x9e3779b97f4a7c15 + uint64(op.index) + 1
 }
 
-// fingerprint identifies requests with the same content.
-func (r *request) fingerprint() uint64 {
-	path := r.op.Path
-	if !r.op.Crash {
-		path += "?" + r.key + strconv.FormatUint(r.id, 10)
+// fingerprint identifies calls of an operation with the same content. Every
+// request has its own content, except those that crash targets.
+func (r *request) fingerprint(op *Operation) uint64 {
+	path := op.Path
+	if !op.Crash {
+		path += "?" + strconv.FormatUint(r.id, 10)
 	}
-	return chain.Fingerprint(r.op.Method, r.op.Service, path, "", 0)
+	return chain.Fingerprint(op.Method, op.Service, path, "", 0)
 }
