--- a/internal/replay/layer.go
+++ b/internal/replay/layer.go
@@ -22,16 +22,21 @@
 
 // layer is goldcrestsail on the fakes: a node beside every target.
 type layer struct {
-	w        *world
-	nodes    []*node
-	byID     map[routing.TargetID]*node
-	links    map[[2]int]*link
-	log      *logFake
-	chainIDs uint64
+	w     *world
+	nodes []*node
+	byID  map[routing.TargetID]*node
+	links map[[2]int]*link
+	log   *logFake
+	// reporting is how load reports travel, reported their bytes.
+	reporting reporting
+	reported  int
+	chainIDs  uint64
 }
 
-func newLayer(w *world) system {
-	l := &layer{w: w, byID: map[routing.TargetID]*node{}, links: map[[2]int]*link{}}
+func newLayer(w *world) system { return newLayerReporting(w, withResponses) }
+
+func newLayerReporting(w *world, how reporting) *layer {
+	l := &layer{w: w, byID: map[routing.TargetID]*node{}, links: map[[2]int]*link{}, reporting: how}
 	l.log = &logFake{w: w, streams: map[string]*stream{}}
 	for _, t := range w.targets {
 		n := newNode(l, t)
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -37,6 +37,7 @@
 	chains     *chain.Table
 	shed       *shedding.Table
 	quarantine *quarantine.Table
+	reports    *reports
 	// claims is nil when the service has no non-idempotent class.
 	claims *claims
 
@@ -96,6 +97,7 @@
 	}
 	n.tick()
 	n.tickQuarantine()
+	n.reports = newReports(n)
 	return n
 }
 
@@ -197,6 +199,7 @@
 		}
 		s.trial = true
 	}
+	n.reports.called(r.from)
 	n.nextID++
 	s.id = n.nextID
 	if r.op.NonIdempotent {
@@ -365,6 +368,15 @@
 	return p
 }
 
+// load is what the node reports of its target.
+func (n *node) load() routing.Load {
+	stats := n.queue.Stats(n.w.now)
+	return routing.Load{
+		InFlight: stats.Running, Waiting: stats.Waiting, Limit: stats.Limit, Draining: n.draining,
+		ByImportance: slices.Clone(n.byImportance[:]), ServiceTime: n.limiter.ServiceTime(),
+	}
+}
+
 // reply adds the load and the levels to a response.
 func (s *served) reply(p reply, unused int, visited []string) peerReply {
 	n, now := s.node, s.node.w.now
@@ -372,10 +384,7 @@
 	own := serviceLevel{n.target.service.Name, n.target.id, stats.Level, now}
 	return peerReply{
 		reply: p, unused: unused, visited: visited, levels: mergeLevels([]serviceLevel{own}, s.levels),
-		load: &routing.Load{
-			InFlight: stats.Running, Waiting: stats.Waiting, Limit: stats.Limit, Draining: n.draining,
-			ByImportance: slices.Clone(n.byImportance[:]), ServiceTime: n.limiter.ServiceTime(),
-		},
+		load: n.reports.withResponse(s.request.from),
 	}
 }
 
--- a/internal/replay/peer_call.go
+++ b/internal/replay/peer_call.go
@@ -11,6 +11,7 @@
 
 // peerRequest is what one node sends to another.
 type peerRequest struct {
+	from        *node
 	op          *Operation
 	attempt     *attempt
 	chainID     string
@@ -61,6 +62,7 @@
 // call sends a request to the node beside the chosen target.
 func (n *node) call(to *node, r peerRequest, done func(*peerReply, kind.Kind)) *peerCall {
 	w := n.w
+	r.from = n
 	c := &peerCall{from: n, to: to, link: n.layer.link(n, to), request: r, begun: w.now, done: done}
 	n.routes[r.op.Service].StartClass(w.now, routing.TargetID(to.target.id), r.importance)
 	c.link.pending = append(c.link.pending, c)
@@ -125,7 +127,7 @@
 	now := c.from.w.now
 	result := routing.Result{Latency: now.Sub(c.begun), Kind: k, Importance: c.request.importance}
 	if p != nil {
-		result.Kind, result.Load, result.Status = p.kind, p.load, p.status
+		result.Kind, result.Load, result.Status, result.Responded = p.kind, p.load, p.status, true
 		c.from.observe(p)
 	}
 	c.from.routes[c.request.op.Service].Done(now, routing.TargetID(c.to.target.id), result)
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -123,3 +123,23 @@
 		require.ErrorContains(t, err, want)
 	}
 }
+
+// Guards against a comparison of load reports in which one kind sends nothing.
+// Its figures are in docs/measurements-replay.md.
+func TestLoadReportsCompared(t *testing.T) {
+	for _, name := range []string{"qureshi-a-slow-and-surge", "takstolshuset-a-slow-and-surge"} {
+		trace, err := Load("../../testdata/" + name + ".jsonl")
+		require.NoError(t, err)
+		for how, label := range []string{withResponses: "with responses", periodically: "periodic", onCrossing: "on crossing"} {
+			var l *layer
+			w := replay(trace, func(w *world) system {
+				l = newLayerReporting(w, reporting(how))
+				return l
+			})
+			f := w.figures(trace)
+			t.Logf("%s, %s: %d bytes, goodput of allowed %.4f, important answered %.4f, recovery %.0f ms",
+				name, label, l.reported, f[figureGoodput], f[figureImportant], f[figureRecovery])
+			require.Positive(t, l.reported)
+		}
+	}
+}
--- a/routing/outlier.go
+++ b/routing/outlier.go
@@ -47,7 +47,7 @@
 	case kind.Shed, kind.QueueTimeout:
 		return refusal
 	case kind.DeadlineExpired:
-		if r.Load != nil {
+		if r.responded() {
 			return refusal
 		}
 		return failure
--- a/routing/result.go
+++ b/routing/result.go
@@ -15,8 +15,11 @@
 	// Importance is that of the call, as given to StartClass.
 	Importance int
 	// Load is the load reported with the response, or nil when no response
-	// arrived.
+	// arrived or it reported none.
 	Load *Load
+	// Responded says that the target's node responded. It is implied by a load
+	// and by an empty kind.
+	Responded bool
 	// Kind is empty when the target itself answered, otherwise the reason why
 	// it did not.
 	Kind kind.Kind
@@ -24,3 +27,5 @@
 	// count as failures of the target.
 	Status int
 }
+
+func (r *Result) responded() bool { return r.Responded || r.Load != nil || r.Kind == "" }
--- a/routing/table.go
+++ b/routing/table.go
@@ -118,7 +118,7 @@
 	if r.Load != nil {
 		t.learn(g, now, *r.Load)
 	}
-	if r.Load != nil || r.Kind == "" {
+	if r.responded() {
 		g.quietSince, g.unanswered = now, 0
 	}
 	v := judge(&r)
@@ -152,7 +152,7 @@
 	case failure:
 		g.failures++
 		if g.failures >= t.options.EjectAfter {
-			t.eject(g, now, r.Load == nil && r.Kind != "")
+			t.eject(g, now, !r.responded())
 		}
 	case closedDraining:
 		t.closeUntil(g, now.Add(drainingClosed))
