Test that the concurrency limit stays within the policy's bounds

Cause: the limiter divides by sums of samples that come from outside.

Conclusion: no sequence of samples, reports and settings was found that takes the limit below the floor or above the slots.

--- a/limit/limiter_test.go
+++ b/limit/limiter_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/goldcrestsail/goldcrestsail/limit"
 	sim "github.com/goldcrestsail/goldcrestsail/limit/limitsim"
@@ -201,3 +202,38 @@
 	}
 	require.Equal(t, 50, l.Limit())
 }
+
+// Guards against a limit outside the bounds of the policy, and against a crash,
+// on samples that make no sense.
+func TestLimitStaysWithinItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		drawConfig := func() limit.Config {
+			return limit.Config{Slots: rapid.IntRange(0, 200).Draw(t, "slots"), MinLimit: rapid.IntRange(-1, 20).Draw(t, "floor"),
+				ColdStart: time.Duration(rapid.IntRange(0, 3000).Draw(t, "ramp")) * ms}
+		}
+		config, now := drawConfig(), epoch
+		l := limit.New(config, now)
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		for range rapid.IntRange(1, 30).Draw(t, "phases") {
+			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			case 0:
+				config = drawConfig()
+				l.Configure(now, config)
+			case 1:
+				l.TargetStarted(now)
+			case 2:
+				l.ObserveReport(now, limit.Report{Healthy: rng.IntN(2) == 0, Capacity: rng.IntN(300) - 50})
+			}
+			slow, bad, step := rng.IntN(300)-1, rng.Float64(), rng.IntN(20)-1
+			for range rng.IntN(300) {
+				now = now.Add(time.Duration(step) * ms)
+				s := limit.Sample{Latency: time.Duration(slow) * ms, Total: time.Duration(rng.IntN(400)) * ms, InFlight: rng.IntN(2 * (l.Limit() + 1))}
+				s.TimedOut, s.Refused = rng.Float64() < bad, rng.Float64() < bad
+				l.Observe(now, s)
+				l.Tick(now)
+				require.GreaterOrEqual(t, l.Limit(), max(min(config.MinLimit, config.Slots), 1))
+				require.LessOrEqual(t, l.Limit(), max(config.Slots, 1))
+			}
+		}
+	})
+}
