--- a/admission/bench_test.go
+++ b/admission/bench_test.go
@@ -79,3 +79,34 @@
 		q.Level(epoch)
 	}
 }
+
+// One request arrives at a queue whose waiting requests are all of one rank, or
+// spread over more and more classes.
+func BenchmarkOfferAndReleaseByClasses(b *testing.B) {
+	for _, classes := range []int{1, 4, 16} {
+		b.Run(fmt.Sprint(classes), func(b *testing.B) {
+			q := NewQueue(Config{MaxWaiting: 1025, QueueTimeout: time.Hour}, 0, epoch)
+			offer := func(id ID) {
+				q.Offer(epoch, Request{ID: id, Rank: MakeRank(int(id)%classes, false, uint8(id)%ChainLevels)})
+			}
+			for id := range ID(1024) {
+				offer(id + 1)
+			}
+			running := q.SetLimit(epoch, 1)[0].ID
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				offer(ID(1025 + i))
+				running = q.Release(epoch, running)[0].ID
+			}
+		})
+	}
+}
+
+// B/op is the memory of an empty queue.
+func BenchmarkNewQueue(b *testing.B) {
+	b.ReportAllocs()
+	for range b.N {
+		NewQueue(Config{}, 50, epoch)
+	}
+}
