--- a/limit/constants.go
+++ b/limit/constants.go
@@ -72,10 +72,11 @@
 	// idleRaise is the step per window without a trial, while the limit is not in
 	// use.
 	idleRaise = 1.25
-	// Waits between trials that raise. The longest one leaves 1.25 s of the 2 s
-	// for recovery to the trials themselves.
+	// Waits between trials that raise. The longest one leaves 1.5 s of the 2 s for
+	// recovery to the trials themselves; 750 ms took up to 2.2 s in all on a
+	// target of 10 slots.
 	minRaiseWait = 250 * time.Millisecond
-	maxRaiseWait = 750 * time.Millisecond
+	maxRaiseWait = 500 * time.Millisecond
 	// Waits between trials that lower and were reverted. A reverted trial costs
 	// up to 30% of the goodput for about 100 ms.
 	minLowerWait = time.Second
--- a/limit/limiter_test.go
+++ b/limit/limiter_test.go
@@ -1,4 +1,4 @@
-package limit
+package limit_test
 
 import (
 	"math/rand/v2"
@@ -6,8 +6,16 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestsail/goldcrestsail/limit"
+	sim "github.com/goldcrestsail/goldcrestsail/limit/limitsim"
 )
 
+const ms = time.Millisecond
+
+var epoch = sim.Epoch()
+
 // seeds is the number of seeds; the short run is for the race detector, which
 // slows the simulation down.
 func seeds(full uint64) uint64 {
@@ -17,27 +25,27 @@
 	return full
 }
 
-func limiter() *Limiter {
-	return New(Config{Slots: 50, MinLimit: 2, ColdStart: time.Second}, epoch)
+func limiter() *limit.Limiter {
+	return limit.New(limit.Config{Slots: 50, MinLimit: 2, ColdStart: time.Second}, epoch)
 }
 
 // eachSeed runs a fake against a fresh limiter with several seeds.
-func eachSeed(t *testing.T, change func(*fake), check func(result)) {
+func eachSeed(t *testing.T, change func(*sim.Target), check func(sim.Result)) {
 	for seed := range seeds(3) {
-		f := base()
+		f := sim.Base()
 		change(&f)
-		check(f.run(limiter(), seed))
+		check(f.Run(limiter(), seed))
 	}
 }
 
 // Guards against a limit that falls on a target that is as published.
 func TestLimitStaysAtTrueSlots(t *testing.T) {
 	for _, spread := range []float64{0.5, 1} {
-		eachSeed(t, func(f *fake) { f.spread = spread }, func(r result) {
-			_, mean, last := r.limit(2*time.Second, r.f.length)
+		eachSeed(t, func(f *sim.Target) { f.Spread = spread }, func(r sim.Result) {
+			mean, last := r.Limit(2*time.Second, sim.Base().Length)
 			require.GreaterOrEqual(t, mean, 49.0)
 			require.Equal(t, 50.0, last)
-			require.GreaterOrEqual(t, r.share(2*time.Second, r.f.length), 0.97)
+			require.GreaterOrEqual(t, r.Share(2*time.Second, sim.Base().Length), 0.97)
 		})
 	}
 }
@@ -46,12 +54,12 @@
 func TestLimitFindsTheTrueHalf(t *testing.T) {
 	for _, coldStart := range []time.Duration{0, time.Second} {
 		for seed := range seeds(3) {
-			f := base()
-			f.workers = constant(25)
-			r := f.run(New(Config{Slots: 50, MinLimit: 2, ColdStart: coldStart}, epoch), seed)
-			_, mean, _ := r.limit(5*time.Second, f.length)
+			f := sim.Base()
+			f.Workers = sim.Constant(25)
+			r := f.Run(limit.New(limit.Config{Slots: 50, MinLimit: 2, ColdStart: coldStart}, epoch), seed)
+			mean, _ := r.Limit(5*time.Second, f.Length)
 			require.InDelta(t, 25, mean, 9)
-			require.GreaterOrEqual(t, r.share(5*time.Second, f.length), 0.9)
+			require.GreaterOrEqual(t, r.Share(5*time.Second, f.Length), 0.9)
 		}
 	}
 }
@@ -59,26 +67,32 @@
 // Guards against goodput lost to a lower limit on a target that is slow but
 // does not queue.
 func TestLimitStaysWhenTheTargetSlowsWithoutQueueing(t *testing.T) {
-	eachSeed(t, func(f *fake) { f.service = during(20*ms, 80*ms) }, func(r result) {
-		_, mean, _ := r.limit(slowFrom, slowTo)
+	slow := sim.Base()
+	slow.Service = sim.During(20*ms, 80*ms)
+	eachSeed(t, func(f *sim.Target) { *f = slow }, func(r sim.Result) {
+		mean, _ := r.Limit(sim.SlowFrom, sim.SlowTo)
 		require.GreaterOrEqual(t, mean, 46.0)
-		plain := r.f.run(plain{50}, 0)
-		require.GreaterOrEqual(t, r.share(slowFrom, slowTo), 0.95*plain.share(slowFrom, slowTo))
+		plain := slow.Run(sim.Plain{Slots: 50}, 0)
+		require.GreaterOrEqual(t, r.Share(sim.SlowFrom, sim.SlowTo), 0.95*plain.Share(sim.SlowFrom, sim.SlowTo))
 	})
 }
 
 // Guards against goodput that stays low after the trigger has passed.
 func TestLimitRecoversWithinTwoSeconds(t *testing.T) {
-	for _, change := range []func(*fake){
-		func(f *fake) { f.workers = during(50, 6) },
-		func(f *fake) { f.workers = during(50, 25) },
-		func(f *fake) { f.service = during(20*ms, 3*time.Second); f.cancels = true },
+	for _, change := range []func(*sim.Target){
+		func(f *sim.Target) { f.Workers = sim.During(50, 6) },
+		func(f *sim.Target) { f.Workers = sim.During(50, 25) },
+		func(f *sim.Target) {
+			f.Slots, f.Workers, f.Rate, f.Service = 50, sim.During(50, 10), sim.Constant(1500.0), sim.Constant(50*ms)
+			f.Expected, f.Deadline = 50*ms, 400*ms
+		},
+		func(f *sim.Target) { f.Service = sim.During(20*ms, 3*time.Second); f.Cancels = true },
 	} {
-		eachSeed(t, change, func(r result) {
-			recovery := r.recovery()
+		eachSeed(t, change, func(r sim.Result) {
+			recovery := r.Recovery()
 			require.GreaterOrEqual(t, recovery, time.Duration(0))
 			require.LessOrEqual(t, recovery, 2*time.Second)
-			_, _, last := r.limit(slowTo, slowTo+2*time.Second)
+			_, last := r.Limit(sim.SlowTo, sim.SlowTo+2*time.Second)
 			require.GreaterOrEqual(t, last, 47.0)
 		})
 	}
@@ -86,17 +100,17 @@
 
 // Guards against work that is sent to a target that hangs or refuses.
 func TestLimitFallsFastOnTimeoutsAndRefusals(t *testing.T) {
-	eachSeed(t, func(f *fake) { f.service = during(20*ms, 3*time.Second); f.cancels = true }, func(r result) {
-		_, mean, _ := r.limit(slowFrom+time.Second, slowTo)
+	eachSeed(t, func(f *sim.Target) { f.Service = sim.During(20*ms, 3*time.Second); f.Cancels = true }, func(r sim.Result) {
+		mean, _ := r.Limit(sim.SlowFrom+time.Second, sim.SlowTo)
 		require.LessOrEqual(t, mean, 10.0)
 	})
-	eachSeed(t, func(f *fake) { f.workers = during(50, 10); f.bound = 10; f.length = 12 * time.Second }, func(r result) {
-		_, mean, _ := r.limit(slowFrom+time.Second, slowFrom+2*time.Second)
+	eachSeed(t, func(f *sim.Target) { f.Workers = sim.During(50, 10); f.Bound = 10; f.Length = 12 * time.Second }, func(r sim.Result) {
+		mean, _ := r.Limit(sim.SlowFrom+time.Second, sim.SlowFrom+2*time.Second)
 		require.LessOrEqual(t, mean, 16.0)
 	})
 	// A constant share of failures that no limit reduces is no reason to lower it.
-	eachSeed(t, func(f *fake) { f.fault = 0.3 }, func(r result) {
-		_, mean, _ := r.limit(3*time.Second, r.f.length)
+	eachSeed(t, func(f *sim.Target) { f.Fault = 0.3 }, func(r sim.Result) {
+		mean, _ := r.Limit(3*time.Second, sim.Base().Length)
 		require.GreaterOrEqual(t, mean, 45.0)
 	})
 }
@@ -104,7 +118,7 @@
 // Guards against a full load on a target whose process has just started, and
 // against a ramp that needs traffic or does not end at the slots.
 func TestColdStartRamp(t *testing.T) {
-	l := New(Config{Slots: 102, MinLimit: 2, ColdStart: 4 * time.Second}, epoch)
+	l := limit.New(limit.Config{Slots: 102, MinLimit: 2, ColdStart: 4 * time.Second}, epoch)
 	at := func(s float64) int {
 		l.Tick(epoch.Add(time.Duration(s * float64(time.Second))))
 		return l.Limit()
@@ -113,22 +127,22 @@
 	l.TargetStarted(epoch.Add(time.Hour))
 	require.Equal(t, 2, l.Limit())
 	require.Equal(t, 52, at(3602))
-	l.Configure(epoch.Add(time.Hour), Config{Slots: 10, MinLimit: 20})
+	l.Configure(epoch.Add(time.Hour), limit.Config{Slots: 10, MinLimit: 20})
 	require.Equal(t, 10, at(3603))
 
 	for seed := range seeds(3) {
-		f := base()
-		f.service = func(t time.Duration) time.Duration { return 20*ms + max(0, 60*ms-t/50) } // Slow until warm.
-		r := f.run(New(Config{Slots: 50, MinLimit: 2, ColdStart: 3 * time.Second}, epoch), seed)
-		_, _, last := r.limit(0, 4*time.Second)
+		f := sim.Base()
+		f.Service = func(t time.Duration) time.Duration { return 20*ms + max(0, 60*ms-t/50) } // Slow until warm.
+		r := f.Run(limit.New(limit.Config{Slots: 50, MinLimit: 2, ColdStart: 3 * time.Second}, epoch), seed)
+		_, last := r.Limit(0, 4*time.Second)
 		require.Equal(t, 50.0, last)
 	}
 }
 
 // lying reports the same thing every 50 ms whatever is true.
 type lying struct {
-	*Limiter
-	report Report
+	*limit.Limiter
+	report limit.Report
 }
 
 func (l lying) Tick(now time.Time) { l.ObserveReport(now, l.report); l.Limiter.Tick(now) }
@@ -137,15 +151,15 @@
 // cost much goodput, and a good one must not raise the limit.
 func TestLyingEndpoint(t *testing.T) {
 	for seed := range seeds(3) {
-		f := base()
-		r := f.run(lying{limiter(), Report{Healthy: false, Capacity: 1}}, seed)
-		require.GreaterOrEqual(t, r.share(2*time.Second, f.length), 0.95)
-		_, mean, _ := r.limit(2*time.Second, f.length)
+		f := sim.Base()
+		r := f.Run(lying{limiter(), limit.Report{Healthy: false, Capacity: 1}}, seed)
+		require.GreaterOrEqual(t, r.Share(2*time.Second, f.Length), 0.95)
+		mean, _ := r.Limit(2*time.Second, f.Length)
 		require.GreaterOrEqual(t, mean, 47.0)
 
-		f.workers = constant(25)
-		honest, praised := f.run(limiter(), seed), f.run(lying{limiter(), Report{Healthy: true, Capacity: 1000}}, seed)
-		require.Equal(t, honest.limits, praised.limits)
+		f.Workers = sim.Constant(25)
+		honest, praised := f.Run(limiter(), seed), f.Run(lying{limiter(), limit.Report{Healthy: true, Capacity: 1000}}, seed)
+		require.Equal(t, honest.Limits, praised.Limits)
 	}
 }
 
@@ -161,27 +175,65 @@
 		for i := range phases {
 			phases[i] = phase{1 + rng.IntN(50), 20 * ms << rng.IntN(6)}
 		}
-		f := base()
-		f.cancels = true
-		f.spread = rng.Float64()
+		f := sim.Base()
+		f.Cancels = true
+		f.Spread = rng.Float64()
 		at := func(t time.Duration) phase {
-			if t >= slowTo {
+			if t >= sim.SlowTo {
 				return phase{50, 20 * ms}
 			}
 			return phases[t/time.Second]
 		}
-		f.workers = func(t time.Duration) int { return at(t).workers }
-		f.service = func(t time.Duration) time.Duration { return at(t).service }
-		r := f.run(limiter(), seed)
-		_, mean, _ := r.limit(slowTo+5*time.Second, f.length)
+		f.Workers = func(t time.Duration) int { return at(t).workers }
+		f.Service = func(t time.Duration) time.Duration { return at(t).service }
+		r := f.Run(limiter(), seed)
+		mean, _ := r.Limit(sim.SlowTo+5*time.Second, f.Length)
 		require.GreaterOrEqual(t, mean, 48.0, "seed %d", seed)
-		require.GreaterOrEqual(t, r.share(slowTo+3*time.Second, f.length), 0.95, "seed %d", seed)
+		require.GreaterOrEqual(t, r.Share(sim.SlowTo+3*time.Second, f.Length), 0.95, "seed %d", seed)
 	}
 	// The same without load: a low limit must not wait for the next overload.
 	l := limiter()
-	l.limit, l.baseline = 2, 20*ms
+	for i := range 1000 {
+		l.Observe(epoch.Add(2*time.Second+time.Duration(i)*5*ms), limit.Sample{Latency: ms, InFlight: l.Limit(), Refused: true})
+	}
+	require.Equal(t, 2, l.Limit())
 	for i := range 2000 {
-		l.Observe(epoch.Add(2*time.Second+time.Duration(i)*5*ms), Sample{Latency: 20 * ms, InFlight: 1})
+		l.Observe(epoch.Add(10*time.Second+time.Duration(i)*5*ms), limit.Sample{Latency: 20 * ms, InFlight: 1})
 	}
 	require.Equal(t, 50, l.Limit())
 }
+
+// Guards against a limit outside the bounds of the policy, and against a crash,
+// on samples that make no sense.
+func TestLimitStaysWithinItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		drawConfig := func() limit.Config {
+			return limit.Config{Slots: rapid.IntRange(0, 200).Draw(t, "slots"), MinLimit: rapid.IntRange(-1, 20).Draw(t, "floor"),
+				ColdStart: time.Duration(rapid.IntRange(0, 3000).Draw(t, "ramp")) * ms}
+		}
+		config, now := drawConfig(), epoch
+		l := limit.New(config, now)
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		for range rapid.IntRange(1, 30).Draw(t, "phases") {
+			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			case 0:
+				config = drawConfig()
+				l.Configure(now, config)
+			case 1:
+				l.TargetStarted(now)
+			case 2:
+				l.ObserveReport(now, limit.Report{Healthy: rng.IntN(2) == 0, Capacity: rng.IntN(300) - 50})
+			}
+			slow, bad, step := rng.IntN(300)-1, rng.Float64(), rng.IntN(20)-1
+			for range rng.IntN(300) {
+				now = now.Add(time.Duration(step) * ms)
+				s := limit.Sample{Latency: time.Duration(slow) * ms, Total: time.Duration(rng.IntN(400)) * ms, InFlight: rng.IntN(2 * (l.Limit() + 1))}
+				s.TimedOut, s.Refused = rng.Float64() < bad, rng.Float64() < bad
+				l.Observe(now, s)
+				l.Tick(now)
+				require.GreaterOrEqual(t, l.Limit(), max(min(config.MinLimit, config.Slots), 1))
+				require.LessOrEqual(t, l.Limit(), max(config.Slots, 1))
+			}
+		}
+	})
+}
