Let a slow delegate not stop the protocol; bound the time of a departure

Cause: changes waited in a bounded channel that the protocol filled while it held its lock, so that a delegate which called back could deadlock with it. They now wait in a queue that keeps the latest change of each member. A departure in a cluster of two took twelve rounds of 200 ms; it now takes at most six.

--- a/gossip/delegate.go
+++ b/gossip/delegate.go
@@ -7,11 +7,9 @@
 )
 
 // Delegate receives what a Transport learns. Its methods are called one at a
-// time and in order on a goroutine of their own. While one of them does not
-// return, up to 1,024 changes wait; then the socket is no longer served, so
-// they must return soon. They must not call Leave or Close, which wait for
-// them. A method that calls UpdateMeta, SetConfigOffset or Broadcast must do so
-// on another goroutine: these may wait for the queue that it serves.
+// time on a goroutine of their own. While one of them runs, later changes wait,
+// and of several changes of one member only the latest is kept. The methods may
+// call those of Transport, except Leave and Close, which wait for them.
 type Delegate interface {
 	// MemberChanged reports a new member or a change of a member's state or
 	// metadata, also of this process itself.
--- a/gossip/transport.go
+++ b/gossip/transport.go
@@ -20,9 +20,6 @@
 	// receiveBuffer is larger than any accepted datagram, so that longer ones
 	// are noticed and dropped.
 	receiveBuffer = 64 << 10
-	// pendingEffects bounds the changes that wait for the delegate. A full
-	// queue makes the senders wait.
-	pendingEffects = 1024
 	// readRetryDelay keeps a persistent socket error from taking a whole core.
 	readRetryDelay = 10 * time.Millisecond
 )
@@ -40,7 +37,7 @@
 	node *membership.Node
 
 	wake    chan struct{}
-	changes chan membership.Effect
+	changes *changeQueue
 	left    chan struct{}
 	stop    chan struct{}
 	once    sync.Once
@@ -74,7 +71,7 @@
 	t := &Transport{
 		conn: conn, addr: m.Addr, delegate: cfg.Delegate, logger: cfg.Logger, node: node,
 		wake:    make(chan struct{}, 1),
-		changes: make(chan membership.Effect, pendingEffects),
+		changes: newChangeQueue(),
 		left:    make(chan struct{}),
 		stop:    make(chan struct{}),
 	}
@@ -101,10 +98,7 @@
 		case membership.LeaveComplete:
 			close(t.left)
 		default:
-			select {
-			case t.changes <- effect:
-			case <-t.stop:
-			}
+			t.changes.put(effect)
 		}
 	}
 }
@@ -166,19 +160,25 @@
 		select {
 		case <-t.stop:
 			return
-		case e := <-t.changes:
-			switch e := e.(type) {
-			case membership.MemberChanged:
-				t.delegate.MemberChanged(e.Member)
-			case membership.ConfigOffsetSeen:
-				t.delegate.ConfigOffsetSeen(e.PeerAddr, e.Offset)
-			case membership.BroadcastReceived:
-				t.delegate.BroadcastReceived(e.Broadcast)
+		case <-t.changes.ready:
+			for _, e := range t.changes.takeAll() {
+				t.tell(e)
 			}
 		}
 	}
 }
 
+func (t *Transport) tell(e membership.Effect) {
+	switch e := e.(type) {
+	case membership.MemberChanged:
+		t.delegate.MemberChanged(e.Member)
+	case membership.ConfigOffsetSeen:
+		t.delegate.ConfigOffsetSeen(e.PeerAddr, e.Offset)
+	case membership.BroadcastReceived:
+		t.delegate.BroadcastReceived(e.Broadcast)
+	}
+}
+
 // Addr returns the address that other members use.
 func (t *Transport) Addr() netip.AddrPort { return t.addr }
 
--- a/gossip/transport_test.go
+++ b/gossip/transport_test.go
@@ -137,6 +137,38 @@
 	require.NoError(t, a.Close())
 }
 
+// slowDelegate calls back into the transport and takes its time.
+type slowDelegate struct {
+	recorder
+	transport chan *gossip.Transport
+	release   chan struct{}
+}
+
+func (d *slowDelegate) MemberChanged(m membership.Member) {
+	<-d.release
+	tr := <-d.transport
+	tr.Members()
+	tr.UpdateMeta(membership.Meta{Slots: uint32(len(tr.Members()))})
+	d.transport <- tr
+	d.recorder.MemberChanged(m)
+}
+
+// TestSlowDelegate guards against a delegate that stops the protocol, or that
+// deadlocks when it calls back.
+func TestSlowDelegate(t *testing.T) {
+	d := &slowDelegate{recorder: *newRecorder(), transport: make(chan *gossip.Transport, 1), release: make(chan struct{})}
+	tr, err := gossip.Start(gossip.Config{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Delegate: d,
+		Membership: membership.Config{Cluster: "test"}})
+	require.NoError(t, err)
+	d.transport <- tr
+	other, r := start(t, 1002, tr.Addr())
+	r.wait(t, func() bool { return len(r.members) >= 1 })
+	require.NoError(t, other.Leave(context.Background()))
+	close(d.release)
+	d.wait(t, func() bool { return d.members[other.Addr()].State == membership.Left })
+	require.NoError(t, tr.Close())
+}
+
 // TestStartRejectsFaults guards against a node that starts with faulty settings.
 func TestStartRejectsFaults(t *testing.T) {
 	_, err := gossip.Start(gossip.Config{Listen: netip.MustParseAddrPort("127.0.0.1:0")})
--- a/membership/node.go
+++ b/membership/node.go
@@ -69,6 +69,8 @@
 	// joinBackoff is the time until the next contact of a seed.
 	joinBackoff time.Duration
 	stopped     bool
+	// leaveRounds counts the rounds of updates since the departure began.
+	leaveRounds int
 
 	nextProbe, nextUrgent, nextSync, nextDeadProbe, nextHousekeeping time.Time
 	// requestedAt is when a bucket was last asked for.
--- a/membership/timers.go
+++ b/membership/timers.go
@@ -14,6 +14,9 @@
 	// the seeds stays bounded when a whole cluster starts.
 	lonelyProbeInterval    = time.Second
 	maxLonelyProbeInterval = 16 * time.Second
+	// maxLeaveRounds bounds the time that a departure takes in a small cluster,
+	// in which a round reaches fewer than UrgentFanout members.
+	maxLeaveRounds = 6
 	// pauseThreshold is how late a timer must run for the node to take it for
 	// a pause of its process.
 	pauseThreshold = time.Second
@@ -120,10 +123,13 @@
 // round sends queued updates to a few random members (SWIM piggybacks only; the
 // rounds bound the time that urgent updates take).
 func (n *Node) round() {
-	if n.leaving && (!n.self.rumor.queued || len(n.present) == 0) {
-		n.stopped = true
-		n.emit(LeaveComplete{})
-		return
+	if n.leaving {
+		if !n.self.rumor.queued || len(n.present) == 0 || n.leaveRounds == maxLeaveRounds {
+			n.stopped = true
+			n.emit(LeaveComplete{})
+			return
+		}
+		n.leaveRounds++
 	}
 	for _, peer := range n.randomPeers(n.cfg.UrgentFanout, nil) {
 		b := n.noBody()
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -25,6 +25,7 @@
 	require.Equal(t, quarantine.Quarantined, table.Check(start.Add(time.Second), 7).State)
 	require.Equal(t, quarantine.Suspect, table.Check(start.Add(time.Second), 8).State)
 	require.False(t, table.BeginTrial(start.Add(time.Second), 7), "a quarantined request runs")
+	require.Len(t, table.List(start.Add(time.Second)), 2)
 	table.Completed(start.Add(2*time.Second), 8)
 	require.Equal(t, quarantine.Clear, table.Check(start.Add(2*time.Second), 8).State)
 	require.Len(t, table.Tick(start.Add(3*time.Second)), 1, "the completion is not published")
