--- a/routing/table.go
+++ b/routing/table.go
@@ -23,6 +23,8 @@
 	meanOthers  float64
 	meanAhead   [importances]float64
 	meanLatency float64
+	// meanImportance is the mean importance of recent calls.
+	meanImportance float64
 
 	// The subset in use: the targets in the node's own failure domain, the
 	// others, and the ejected targets to probe.
@@ -97,6 +99,7 @@
 	}
 	g.own++
 	g.ownBy[clamp(importance)]++
+	t.meanImportance += meanWeight * (float64(importance) - t.meanImportance)
 	g.unanswered++
 }
 
@@ -115,19 +118,26 @@
 	if r.Load != nil {
 		t.learn(g, now, *r.Load)
 	}
-	if r.Load != nil || r.Kind == "" {
+	if r.responded() {
 		g.quietSince, g.unanswered = now, 0
 	}
 	v := judge(&r)
-	if r.Kind == kind.DeadlineExpired && v == failure && g.quietSince.After(now.Add(-r.Latency)) {
-		// Something came back since the call began: the target is slow, and
-		// ejecting it would move its load to others that are slow as well.
+	if g.load.ServiceTime == 0 && (r.Kind == kind.DeadlineExpired && v == failure || r.Kind == kind.Canceled) {
+		// The response would have taken longer than this.
+		t.learnAtLeast(g, now, r.Latency)
+	}
+	if r.Kind == kind.DeadlineExpired && v == failure && g.quietSince.After(now.Add(-r.Latency)) && !t.isOutlier(g) {
+		// Something came back since the call began, and the target is not much
+		// slower than the others: ejecting it would move its load to targets
+		// that are slow as well.
 		v = refusal
 	}
 	switch v {
 	case success:
 		g.failures = 0
-		t.learnLatency(g, now, r.Latency)
+		if r.Load == nil || r.Load.ServiceTime == 0 {
+			t.learnLatency(g, now, r.Latency)
+		}
 		// A response to a call from before the ejection proves only that a
 		// silent target is not silent any more.
 		if g.ejected && (g.silent || !now.Add(-r.Latency).Before(g.ejectedAt)) {
@@ -135,14 +145,14 @@
 		}
 	case refusal:
 		g.failures = 0
-		g.learnRefusal(now)
+		g.learnRefusal(now, r.Importance)
 		if g.ejected && g.silent {
 			t.restore(g, now)
 		}
 	case failure:
 		g.failures++
 		if g.failures >= t.options.EjectAfter {
-			t.eject(g, now, false)
+			t.eject(g, now, !r.responded())
 		}
 	case closedDraining:
 		t.closeUntil(g, now.Add(drainingClosed))
