Test the concurrency limit with sub-calls

Cause: the measurements had no sub-calls, but a target's own time excludes them.

Conclusion: own time starts a trial, total time decides it.

--- a/limit/limiter_test.go
+++ b/limit/limiter_test.go
@@ -42,10 +42,10 @@
 func TestLimitStaysAtTrueSlots(t *testing.T) {
 	for _, spread := range []float64{0.5, 1} {
 		eachSeed(t, func(f *sim.Target) { f.Spread = spread }, func(r sim.Result) {
-			mean, last := r.Limit(2*time.Second, sim.Base().Length)
+			mean, last := r.Limit(2*time.Second, r.Length())
 			require.GreaterOrEqual(t, mean, 49.0)
 			require.Equal(t, 50.0, last)
-			require.GreaterOrEqual(t, r.Share(2*time.Second, sim.Base().Length), 0.97)
+			require.GreaterOrEqual(t, r.Share(2*time.Second, r.Length()), 0.97)
 		})
 	}
 }
@@ -77,6 +77,25 @@
 	})
 }
 
+// Guards against a limit that falls because a service below the target is slow,
+// and against a queue inside the target that hides behind its sub-calls.
+func TestSubCallsAreNotTheTargetsOwnTime(t *testing.T) {
+	slow := sim.Base()
+	slow.Rate, slow.SubCalls = sim.Constant(1500.0), sim.During(30*ms, 100*ms)
+	slow.Deadline = 250 * ms
+	eachSeed(t, func(f *sim.Target) { *f = slow }, func(r sim.Result) {
+		mean, _ := r.Limit(sim.SlowFrom, sim.SlowTo)
+		require.GreaterOrEqual(t, mean, 46.0)
+		require.GreaterOrEqual(t, r.Share(sim.SlowFrom, sim.SlowTo), 0.93)
+	})
+	eachSeed(t, func(f *sim.Target) { f.Workers, f.SubCalls = sim.Constant(15), sim.Constant(20*ms) }, func(r sim.Result) {
+		mean, _ := r.Limit(5*time.Second, r.Length())
+		t.Logf("15 workers, 30 requests in flight are enough: mean limit %.1f, goodput %.1f%%", mean, 100*r.Share(5*time.Second, r.Length()))
+		require.InDelta(t, 30, mean, 11)
+		require.GreaterOrEqual(t, r.Share(5*time.Second, r.Length()), 0.9)
+	})
+}
+
 // Guards against goodput that stays low after the trigger has passed.
 func TestLimitRecoversWithinTwoSeconds(t *testing.T) {
 	for _, change := range []func(*sim.Target){
@@ -110,7 +129,7 @@
 	})
 	// A constant share of failures that no limit reduces is no reason to lower it.
 	eachSeed(t, func(f *sim.Target) { f.Fault = 0.3 }, func(r sim.Result) {
-		mean, _ := r.Limit(3*time.Second, sim.Base().Length)
+		mean, _ := r.Limit(3*time.Second, r.Length())
 		require.GreaterOrEqual(t, mean, 45.0)
 	})
 }
--- a/limit/limitsim/agenda.go
+++ b/limit/limitsim/agenda.go
@@ -13,6 +13,7 @@
 	arrival eventKind = iota
 	tick
 	finish
+	leave
 	giveUp
 )
 
--- a/limit/limitsim/result.go
+++ b/limit/limitsim/result.go
@@ -17,6 +17,9 @@
 	target    Target
 }
 
+// Length returns the length of the run.
+func (r Result) Length() time.Duration { return r.target.Length }
+
 // Share returns the goodput from one time to another as a share of the best.
 func (r Result) Share(from, to time.Duration) float64 {
 	good, best := 0.0, 0.0
--- a/limit/limitsim/run.go
+++ b/limit/limitsim/run.go
@@ -21,13 +21,16 @@
 const (
 	inside jobState = iota
 	running
+	calling
 	refused
 	gone
 )
 
 type job struct {
 	arrived, began time.Duration
-	state          jobState
+	// own is the target's own time, once it is known.
+	own   time.Duration
+	state jobState
 }
 
 // run is the state of one simulation.
@@ -73,6 +76,8 @@
 			r.agenda.add(r.now+limit.TickInterval, tick, 0)
 		case finish:
 			r.finish(e.id)
+		case leave:
+			r.leave(e.id)
 		case giveUp:
 			r.giveUp(e.id)
 		}
@@ -137,15 +142,31 @@
 		return // It was cancelled.
 	}
 	r.running--
-	delete(r.jobs, id)
 	if j.state == running {
-		r.result.good[r.now/bucket]++
-		r.result.latencies = append(r.result.latencies, r.now-j.began)
-		r.end(id, limit.Sample{Latency: r.now - j.began})
+		j.state, j.own = calling, r.now-j.began
+		if r.target.SubCalls == nil {
+			r.leave(id)
+		} else {
+			r.agenda.add(r.now+r.target.SubCalls(r.now), leave, id)
+		}
+	} else {
+		delete(r.jobs, id)
 	}
 	r.fill()
 }
 
+// leave ends a request with a good response.
+func (r *run) leave(id admission.ID) {
+	j := r.jobs[id]
+	if j == nil {
+		return
+	}
+	delete(r.jobs, id)
+	r.result.good[r.now/bucket]++
+	r.result.latencies = append(r.result.latencies, r.now-j.began)
+	r.end(id, limit.Sample{Latency: j.own, Total: r.now - j.began})
+}
+
 // giveUp ends a request without a good response.
 func (r *run) giveUp(id admission.ID) {
 	j := r.jobs[id]
@@ -157,6 +178,11 @@
 		r.end(id, limit.Sample{Latency: refusalTime, Refused: true})
 		return
 	}
+	if j.state == calling {
+		delete(r.jobs, id)
+		r.end(id, limit.Sample{Latency: j.own, Total: r.now - j.began, TimedOut: true})
+		return
+	}
 	if j.state == running && r.target.Cancels {
 		r.running--
 		delete(r.jobs, id)
--- a/limit/limitsim/target.go
+++ b/limit/limitsim/target.go
@@ -9,6 +9,9 @@
 	// Workers is how many requests run at once; more wait inside the target.
 	Workers func(t time.Duration) int
 	Service func(t time.Duration) time.Duration
+	// SubCalls is the time for which a request waits for sub-calls after its own
+	// work; it holds a slot but no worker. Nil means none.
+	SubCalls func(t time.Duration) time.Duration
 	// Rate is the number of arrivals per second.
 	Rate func(t time.Duration) float64
 	// Spread 1 gives exponentially distributed service times, 0 constant ones.
@@ -58,5 +61,8 @@
 // best is the goodput per bucket that the target could reach.
 func (f Target) best(t time.Duration) float64 {
 	capacity := float64(f.Workers(t)) / f.Service(t).Seconds()
+	if f.SubCalls != nil {
+		capacity = min(capacity, float64(f.Slots)/(f.Service(t)+f.SubCalls(t)).Seconds())
+	}
 	return min(capacity, f.Rate(t)) * bucket.Seconds()
 }
