Apply a new policy before the first request meets it; tell a broken connection from a crash

Cause: a request could arrive between the fold of a policy and its application, and was then refused without limits or claims in place. A broken connection of a target that is alive was reported as target-crashed, which closes the target in the routing tables of all callers until it announces itself again.

Seen: go test ./node -run 'Partial|Broken|Leaves|NonIdem' failed before and passes now.

--- a/node/execute.go
+++ b/node/execute.go
@@ -85,6 +85,7 @@
 	if x.policy = n.policyOf(name); x.policy == nil {
 		return kind.Newf(kind.UnknownService, "no policy for %s", name)
 	}
+	n.ensurePolicy(x.policy)
 	if call.TimeoutMicros <= 0 {
 		return kind.New(kind.DeadlineExpired, "the deadline has passed").WithRun(kind.NotRun)
 	}
@@ -193,7 +194,11 @@
 	if failure != nil {
 		switch failure.Kind {
 		case kind.TargetCrashed, kind.AnswerTruncated, kind.DialFailed:
-			n.checkTargetAlive()
+			if n.checkTargetAlive() && failure.Kind == kind.TargetCrashed {
+				// Only the connection broke. A crash would take the target out of
+				// routing until it announces itself again.
+				failure = kind.Newf(kind.AnswerTruncated, "the connection ended before the answer: %s", failure.Detail)
+			}
 		}
 	}
 	n.target.end(run)
--- a/node/node.go
+++ b/node/node.go
@@ -42,6 +42,8 @@
 	shed          sheddingTable
 	quarantine    *quarantineTable
 
+	// applied is the policy that gate and guard were configured with.
+	applied  atomic.Pointer[policy.Policy]
 	servers  []*server
 	draining atomic.Bool
 	// work counts requests in progress in both directions.
--- a/node/target_side.go
+++ b/node/target_side.go
@@ -12,6 +12,7 @@
 
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/limit"
+	"github.com/goldcrestsail/goldcrestsail/policy"
 )
 
 const (
@@ -80,10 +81,19 @@
 	if p == nil {
 		return
 	}
+	n.applied.Store(p)
 	n.gate.configure(time.Now(), p, a.Slots)
 	n.guards.ensure(p)
 }
 
+// ensurePolicy applies a policy that came into force a moment ago, so that no
+// request meets the limits of an older one.
+func (n *Node) ensurePolicy(p *policy.Policy) {
+	if n.applied.Load() != p {
+		n.applyPolicy()
+	}
+}
+
 // watchTarget marks a target that stopped announcing itself as down.
 func (n *Node) watchTarget(ctx context.Context) {
 	if n.config.Announcement != nil {
@@ -106,21 +116,22 @@
 
 // checkTargetAlive finds out after a broken connection whether the target's
 // process is gone: its port then refuses connections.
-func (n *Node) checkTargetAlive() {
+func (n *Node) checkTargetAlive() bool {
 	a, state := n.target.current()
 	if state == Down {
-		return
+		return false
 	}
 	conn, err := net.DialTimeout("tcp", a.Address, dialTimeout)
 	if err == nil {
 		conn.Close()
-		return
+		return true
 	}
 	fingerprints, changed := n.target.markDown(time.Now())
 	if !changed {
-		return
+		return false
 	}
 	n.log.Warn("target is down", "address", a.Address, "error", err, "in_flight", len(fingerprints))
 	n.gossip.UpdateMeta(n.meta())
 	n.quarantine.crashed(fingerprints)
+	return false
 }
