--- a/cmd/standin/log.go
+++ b/cmd/standin/log.go
@@ -25,12 +25,20 @@
 	sub.String(&listen, "", "listen", "Address to listen on.")
 	sub.Duration(&options.Retention, "", "retention", "How long records are kept.")
 	sub.Float64(&options.AppendRate, "", "append-rate", "Append requests accepted per second.")
+	sub.String(&options.File, "", "file", "File that keeps the records across restarts.")
 	return &command{sub: sub, run: func(ctx context.Context, log hclog.Logger) error {
+		store := logstore.New(options)
+		if options.File != "" {
+			var err error
+			if store, err = logstore.Open(options); err != nil {
+				return err
+			}
+		}
 		listener, err := net.Listen("tcp", listen)
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: logstore.New(options).Handler(), ReadHeaderTimeout: headerTimeout}
+		server := &http.Server{Handler: store.Handler(), ReadHeaderTimeout: headerTimeout}
 		// Waiting reads need no grace period: their clients read again.
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
--- a/cmd/standin/target.go
+++ b/cmd/standin/target.go
@@ -16,6 +16,14 @@
 // crashExitCode is the exit code of a target that a request has crashed.
 const crashExitCode = 3
 
+const (
+	// drainNotice lets the node beside the target hear of the drain, which is
+	// announced every 500 ms, and send what it had admitted.
+	drainNotice = 2 * time.Second
+	// drainTime bounds a drain.
+	drainTime = time.Minute
+)
+
 // newTargetCommand returns the command "target", a customer's target with
 // slots, a service time and sub-calls.
 func newTargetCommand() *command {
@@ -49,11 +57,9 @@
 		}
 		log.Info("listening", "address", t.Address(), "service", service)
 		<-ctx.Done()
-		// The node beside the target needs to hear of the drain before the
-		// target is gone.
-		t.SetDraining(true)
-		time.Sleep(2 * time.Second)
-		t.Stop()
+		drain, cancel := context.WithTimeout(context.Background(), drainTime)
+		defer cancel()
+		t.Drain(drain, drainNotice)
 		return nil
 	}}
 }
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -12,11 +12,14 @@
 // Link forwards connections from its address to another one.
 type Link struct {
 	listener net.Listener
-	to       string
 	silent   atomic.Int64
 	mu       sync.Mutex
+	to       string
 	open     map[net.Conn]struct{}
 	closed   bool
+	// held and undialed are closed when bytes may flow and when connections
+	// may be opened; nil means that they may.
+	held, undialed chan struct{}
 }
 
 // New listens on a free loopback port and forwards to the given address.
@@ -33,6 +36,54 @@
 // Address returns the address that the link listens on.
 func (l *Link) Address() string { return l.listener.Addr().String() }
 
+// Redirect makes connections opened later go to another address. Open
+// connections stay as they are.
+func (l *Link) Redirect(to string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.to = to
+}
+
+// Hold delays all bytes until the returned function is called, which passes
+// them on in order. Hold must not be called again before that.
+func (l *Link) Hold() (release func()) { return l.delay(&l.held) }
+
+// HoldDial delays new connections until the returned function is called, for a
+// link that is made before its destination. It must not be called again before
+// that.
+func (l *Link) HoldDial() (release func()) { return l.delay(&l.undialed) }
+
+func (l *Link) delay(until *chan struct{}) (release func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := make(chan struct{})
+	*until = c
+	return sync.OnceFunc(func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		*until = nil
+		close(c)
+	})
+}
+
+func (l *Link) await(until *chan struct{}) {
+	l.mu.Lock()
+	c := *until
+	l.mu.Unlock()
+	if c != nil {
+		<-c
+	}
+}
+
+// dial opens a connection to the destination.
+func (l *Link) dial() (net.Conn, error) {
+	l.await(&l.undialed)
+	l.mu.Lock()
+	to := l.to
+	l.mu.Unlock()
+	return net.Dial("tcp", to)
+}
+
 // Silence makes all open connections stop carrying bytes without closing
 // them. Connections opened later work.
 func (l *Link) Silence() { l.silent.Add(1) }
@@ -61,7 +112,7 @@
 		if err != nil {
 			return
 		}
-		out, err := net.Dial("tcp", l.to)
+		out, err := l.dial()
 		if err != nil {
 			in.Close()
 			continue
@@ -94,6 +145,9 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
+		if n > 0 {
+			l.await(&l.held)
+		}
 		if l.silent.Load() == generation && n > 0 {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
--- a/internal/standin/logstore/logstore_test.go
+++ b/internal/standin/logstore/logstore_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -100,3 +102,34 @@
 	store.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/control", nil))
 	require.JSONEq(t, `{"faults":{"outage":true,"delay_ms":7,"lose_answers":-1},"streams":{}}`, w.Body.String())
 }
+
+// Guards against an answered append that is lost when the process is killed,
+// and against a record that was written in part.
+func TestRecordsOutliveTheProcess(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "records")
+	first, err := Open(Options{File: file})
+	require.NoError(t, err)
+	for _, data := range []string{"a", "b"} {
+		_, err := first.Append(t.Context(), "s", []byte(data))
+		require.NoError(t, err)
+	}
+	require.NoError(t, first.file.file.Close())
+	whole, err := os.ReadFile(file)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(file, append(whole, `{"stream":"s","off`...), 0o600))
+
+	second, err := Open(Options{File: file})
+	require.NoError(t, err)
+	offset, err := second.Append(t.Context(), "s", []byte("c"))
+	require.NoError(t, err)
+	require.EqualValues(t, 2, offset)
+	require.NoError(t, second.file.file.Close())
+	third, err := Open(Options{File: file})
+	require.NoError(t, err)
+	batch, err := third.Read(t.Context(), "s", 0, 10, 0)
+	require.NoError(t, err)
+	require.NoError(t, third.file.file.Close())
+	require.Len(t, batch.Records, 3)
+	require.EqualValues(t, 3, batch.Next)
+	require.Equal(t, "c", string(batch.Records[2].Data))
+}
--- a/internal/standin/logstore/options.go
+++ b/internal/standin/logstore/options.go
@@ -11,6 +11,8 @@
 	// AppendRate is how many append requests per second all streams together
 	// accept, by default DefaultAppendRate.
 	AppendRate float64
+	// File, if set, keeps the records, so that they outlive the process.
+	File string
 }
 
 // Defaults of Options.
--- a/internal/standin/logstore/store.go
+++ b/internal/standin/logstore/store.go
@@ -44,6 +44,8 @@
 	last    time.Time
 	// changed is closed and replaced when waiting reads must look again.
 	changed chan struct{}
+	// file keeps the records, or is nil.
+	file *recordFile
 }
 
 var _ logservice.Client = (*Store)(nil)
@@ -126,6 +128,11 @@
 		return 0, logservice.RateExceeded(0)
 	}
 	v.expire(now.Add(-s.retention))
+	if s.file != nil {
+		if err := s.file.write(name, v.next, now, data); err != nil {
+			return 0, logservice.Unavailable(kind.MayHaveRun, err)
+		}
+	}
 	first := v.next
 	for _, d := range data {
 		v.records = append(v.records, logservice.Record{Offset: v.next, Time: now, Data: slices.Clone(d)})
--- a/internal/standin/target/handler.go
+++ b/internal/standin/target/handler.go
@@ -63,7 +63,7 @@
 	defer func() { <-slots }()
 
 	request := r.Header.Get(HeaderClientRequest)
-	if !t.recordStart(request, r.URL.Path) {
+	if !t.recordStart(r, request) {
 		w.Header().Set(chainhttp.HeaderRunState, "not-run")
 		http.Error(w, "ledger not reachable", http.StatusServiceUnavailable)
 		return
--- a/internal/standin/target/record.go
+++ b/internal/standin/target/record.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"net/url"
+
+	"github.com/goldcrestsail/goldcrestsail/chainhttp"
 )
 
 // StartPath and EffectPath are the paths of a remote ledger.
@@ -12,9 +14,13 @@
 )
 
 // recordStart records the start of a request and reports success.
-func (t *Target) recordStart(request, path string) bool {
-	t.effects.executed(request, t.config.Service, path)
-	return t.post(StartPath, url.Values{"request": {request}, "path": {path}})
+func (t *Target) recordStart(r *http.Request, request string) bool {
+	t.effects.executed(request, t.config.Service, r.URL.Path)
+	return t.post(StartPath, url.Values{
+		"request": {request}, "path": {r.URL.Path}, "target": {t.Address()},
+		// The parent ID of a sub-call tells which run of its caller made it.
+		"trace": {r.Header.Get(chainhttp.HeaderTraceParent)},
+	})
 }
 
 // recordEffect records the effect of a key and reports success.
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -130,6 +130,27 @@
 	})
 }
 
+// Drain announces the target as draining, waits for notice and then for the
+// requests in progress, and stops the target. Requests that are still in
+// progress when ctx ends are cut off.
+func (t *Target) Drain(ctx context.Context, notice time.Duration) {
+	t.SetDraining(true)
+	timer := time.NewTimer(notice)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	t.mu.Lock()
+	server := t.server
+	t.mu.Unlock()
+	if server != nil {
+		// Stop cuts off what Shutdown could not wait for.
+		_ = server.Shutdown(ctx)
+	}
+	t.Stop()
+}
+
 // Stop ends the target and all of its connections.
 func (t *Target) Stop() {
 	t.mu.Lock()
