--- a/gossip/transport.go
+++ b/gossip/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -15,131 +16,183 @@
 	"github.com/goldcrestsail/goldcrestsail/membership"
 )
 
-// Config configures a Transport.
-type Config struct {
-	// Listen is the UDP address to bind. With port 0 the system picks one.
-	Listen netip.AddrPort
-	// Membership configures the state machine. If its Addr is the zero value,
-	// the bound address is used; if its ID is zero, a random one is made.
-	Membership membership.Config
-	// Delegate receives changes; it is required.
-	Delegate Delegate
-	// Logger may be nil.
-	Logger hclog.Logger
-}
+const (
+	// receiveBuffer is larger than any accepted datagram, so that longer ones
+	// are noticed and dropped.
+	receiveBuffer = 64 << 10
+	// pendingEffects bounds the changes that wait for the delegate. A full
+	// queue makes the senders wait.
+	pendingEffects = 1024
+	// readRetryDelay keeps a persistent socket error from taking a whole core.
+	readRetryDelay = 10 * time.Millisecond
+)
 
 // Transport is a running membership node. Its methods are safe for concurrent use.
 type Transport struct {
 	conn     *net.UDPConn
+	addr     netip.AddrPort
 	delegate Delegate
-	mu       sync.Mutex
-	node     *membership.Node
-	events   chan membership.Event
-	left     chan struct{}
-	stop     chan struct{}
-	stopOnce sync.Once
-	done     sync.WaitGroup
+	logger   hclog.Logger
+
+	// mu guards node. Effects are carried out while it is held, so that their
+	// order is that of the steps.
+	mu   sync.Mutex
+	node *membership.Node
+
+	wake    chan struct{}
+	changes chan membership.Effect
+	left    chan struct{}
+	stop    chan struct{}
+	once    sync.Once
+	wg      sync.WaitGroup
 }
 
-// Start binds the socket, starts the goroutines and begins to join.
+// Start binds the socket, starts the goroutines and begins to join. It returns
+// a *kind.Error of kind settings-invalid for a faulty configuration, or the
+// error of binding the socket.
 func Start(cfg Config) (*Transport, error) {
+	if cfg.Delegate == nil {
+		return nil, kind.New(kind.SettingsInvalid, "gossip needs a delegate")
+	}
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(cfg.Listen))
 	if err != nil {
-		return nil, kind.Newf(kind.SettingsInvalid, "gossip address %s: %v", cfg.Listen, err)
+		return nil, kind.Class.Wrap(err)
 	}
 	m := cfg.Membership
 	if !m.Addr.IsValid() {
-		m.Addr = conn.LocalAddr().(*net.UDPAddr).AddrPort()
+		bound := conn.LocalAddr().(*net.UDPAddr).AddrPort()
+		m.Addr = netip.AddrPortFrom(bound.Addr().Unmap(), bound.Port())
 	}
-	if m.ID == (uuid.UUID{}) {
+	if m.ID == uuid.Nil {
 		m.ID = uuid.New()
 	}
 	node, err := membership.New(m, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), time.Now())
 	if err != nil {
-		conn.Close()
+		_ = conn.Close()
 		return nil, err
 	}
-	t := &Transport{conn: conn, delegate: cfg.Delegate, node: node, events: make(chan membership.Event, 256), left: make(chan struct{}), stop: make(chan struct{})}
-	t.done.Go(t.read)
-	t.done.Go(t.run)
+	t := &Transport{
+		conn: conn, addr: m.Addr, delegate: cfg.Delegate, logger: cfg.Logger, node: node,
+		wake:    make(chan struct{}, 1),
+		changes: make(chan membership.Effect, pendingEffects),
+		left:    make(chan struct{}),
+		stop:    make(chan struct{}),
+	}
+	if t.logger == nil {
+		t.logger = hclog.NewNullLogger()
+	}
+	t.wg.Go(t.read)
+	t.wg.Go(t.tick)
+	t.wg.Go(t.report)
 	return t, nil
 }
 
+// step advances the node by one event and carries out the effects.
+func (t *Transport) step(e membership.Event) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, effect := range t.node.Step(time.Now(), e) {
+		switch effect := effect.(type) {
+		case membership.Send:
+			// A failed send is like a lost datagram, which the protocol repeats.
+			if _, err := t.conn.WriteToUDPAddrPort(effect.Bytes, effect.To); err != nil && !errors.Is(err, net.ErrClosed) {
+				t.logger.Debug("datagram not sent", "to", effect.To, "error", err)
+			}
+		case membership.LeaveComplete:
+			close(t.left)
+		default:
+			select {
+			case t.changes <- effect:
+			case <-t.stop:
+			}
+		}
+	}
+}
+
+// local handles an event of this process and lets the timer take notice.
+func (t *Transport) local(e membership.Event) {
+	select {
+	case <-t.stop:
+		return
+	default:
+	}
+	t.step(e)
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
 func (t *Transport) read() {
-	buffer := make([]byte, 64<<10)
+	buffer := make([]byte, receiveBuffer)
 	for {
 		n, from, err := t.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
-			return
-		}
-		select {
-		case t.events <- membership.Datagram{From: from, Bytes: append([]byte(nil), buffer[:n]...)}:
-		case <-t.stop:
-			return
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			t.logger.Warn("reading from the gossip socket failed", "error", err)
+			select {
+			case <-t.stop:
+				return
+			case <-time.After(readRetryDelay):
+			}
+			continue
 		}
+		t.local(membership.Datagram{From: from, Bytes: buffer[:n]})
 	}
 }
 
-func (t *Transport) run() {
+func (t *Transport) tick() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		var event membership.Event
 		select {
-		case event = <-t.events:
-		case <-timer.C:
-			event = membership.Tick{}
 		case <-t.stop:
 			return
+		case <-t.wake:
+		case <-timer.C:
+			t.step(membership.Tick{})
 		}
-		now := time.Now()
 		t.mu.Lock()
-		effects := t.node.Step(now, event)
 		next := t.node.NextTick()
 		t.mu.Unlock()
-		timer.Reset(max(next.Sub(now), time.Millisecond))
-		for _, e := range effects {
-			t.apply(e)
-		}
+		timer.Reset(time.Until(next))
 	}
 }
 
-func (t *Transport) apply(effect membership.Effect) {
-	switch e := effect.(type) {
-	case membership.Send:
-		t.conn.WriteToUDPAddrPort(e.Bytes, e.To)
-	case membership.MemberChanged:
-		t.delegate.MemberChanged(e.Member)
-	case membership.ConfigOffsetSeen:
-		t.delegate.ConfigOffsetSeen(e.PeerAddr, e.Offset)
-	case membership.BroadcastReceived:
-		t.delegate.BroadcastReceived(e.Broadcast)
-	case membership.LeaveComplete:
-		close(t.left)
-	}
-}
-
-func (t *Transport) submit(e membership.Event) {
-	select {
-	case t.events <- e:
-	case <-t.stop:
+func (t *Transport) report() {
+	for {
+		select {
+		case <-t.stop:
+			return
+		case e := <-t.changes:
+			switch e := e.(type) {
+			case membership.MemberChanged:
+				t.delegate.MemberChanged(e.Member)
+			case membership.ConfigOffsetSeen:
+				t.delegate.ConfigOffsetSeen(e.PeerAddr, e.Offset)
+			case membership.BroadcastReceived:
+				t.delegate.BroadcastReceived(e.Broadcast)
+			}
+		}
 	}
 }
 
 // Addr returns the address that other members use.
-func (t *Transport) Addr() netip.AddrPort { return t.Self().Addr }
+func (t *Transport) Addr() netip.AddrPort { return t.addr }
 
 // UpdateMeta replaces the metadata of this process.
-func (t *Transport) UpdateMeta(m membership.Meta) { t.submit(membership.LocalUpdate{Meta: m}) }
+func (t *Transport) UpdateMeta(m membership.Meta) { t.local(membership.LocalUpdate{Meta: m}) }
 
 // SetConfigOffset sets the configuration offset in the headers of this process.
 func (t *Transport) SetConfigOffset(offset uint64) {
-	t.submit(membership.SetConfigOffset{Offset: offset})
+	t.local(membership.SetConfigOffset{Offset: offset})
 }
 
 // Broadcast sends an application message to all members.
 func (t *Transport) Broadcast(b membership.Broadcast) {
-	t.submit(membership.LocalBroadcast{Broadcast: b})
+	t.local(membership.LocalBroadcast{Broadcast: b})
 }
 
 // Members returns a copy of the member table, this process included.
@@ -181,24 +234,25 @@
 // Leave announces the departure, waits until it has been sent often enough or
 // ctx ends, and closes the transport. It returns the error of ctx.
 func (t *Transport) Leave(ctx context.Context) error {
-	t.submit(membership.Leave{})
+	t.local(membership.Leave{})
 	var err error
 	select {
 	case <-t.left:
+	case <-t.stop:
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
-	t.Close()
-	return err
+	return errors.Join(err, t.Close())
 }
 
 // Close stops the transport without announcing the departure and waits for its
 // goroutines.
 func (t *Transport) Close() error {
-	t.stopOnce.Do(func() {
+	var err error
+	t.once.Do(func() {
 		close(t.stop)
-		t.conn.Close()
+		err = t.conn.Close()
 	})
-	t.done.Wait()
-	return nil
+	t.wg.Wait()
+	return err
 }
