Bound the expected service time by half of the time left

After connections to a target went silent, every request to it timed out and the expected service time reached the class timeout. The queue then refused every later request as unable to meet its deadline, and no request was left to correct the expectation: the target got no work again (process test, 45 s waited). The gate now bounds the expectation by half of the time left.

Without the bound go test ./node -run IdleTarget fails at the second request.

--- a/node/gate.go
+++ b/node/gate.go
@@ -11,6 +11,11 @@
 	"github.com/goldcrestsail/goldcrestsail/policy"
 )
 
+// maxServiceShare bounds the expected service time to this part of the time
+// left. After a series of timeouts the expectation reaches the deadline; without
+// the bound every request would be refused, and none could correct it.
+const maxServiceShare = 2
+
 // gate runs the admission queue and the concurrency limit of the target beside
 // the node. It is safe for concurrent use.
 type gate struct {
@@ -73,7 +78,7 @@
 	id := g.nextID
 	g.waiting[id] = decided
 	g.settleLocked(now, g.queue.Offer(now, admission.Request{
-		ID: id, Rank: rank, Deadline: deadline, ServiceTime: g.limiter.ServiceTime(),
+		ID: id, Rank: rank, Deadline: deadline, ServiceTime: min(g.limiter.ServiceTime(), deadline.Sub(now)/maxServiceShare),
 	}))
 	g.mu.Unlock()
 
