Close a node once when a second signal meets the end of a drain

Both the drain and the second signal call Close, and the second call closed a closed channel. Without the fix go test ./node -run CloseTwice panics.

--- a/node/drain.go
+++ b/node/drain.go
@@ -59,8 +59,11 @@
 	}
 }
 
-// Close ends the node at once and cuts off what is in progress.
-func (n *Node) Close() {
+// Close ends the node at once and cuts off what is in progress. A drain that
+// ends at the same time closes the node as well; the later call waits.
+func (n *Node) Close() { n.closeOnce.Do(n.close) }
+
+func (n *Node) close() {
 	if n.stopTimer != nil {
 		n.stopTimer()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -47,6 +47,7 @@
 	// work counts requests in progress in both directions.
 	work      workCount
 	stopTimer context.CancelFunc
+	closeOnce sync.Once
 	closed    chan struct{}
 }
 
