Read the claims stream without waiting until its end is known

A guard refuses client keys until it has read its stream to the end, after a start and after a failed read. On a quiet stream that read waited 5 s, so every new node refused client keys for that time. Reads now wait only at the known end.

--- a/claims/fake_test.go
+++ b/claims/fake_test.go
@@ -147,8 +147,15 @@
 		peers: &fakePeers{guards: map[idempotency.ProcessID]*Guard{}}}
 }
 
-// guard starts a guard with a new process ID and waits until it has caught up.
+// guard starts a guard and waits until it has caught up.
 func (c *cluster) guard() *Guard {
+	g := c.started()
+	time.Sleep(readWait + time.Second)
+	return g
+}
+
+// started starts a guard with a new process ID.
+func (c *cluster) started() *Guard {
 	c.next++
 	g, err := NewGuard(Options{Service: policy.ServiceName{Customer: "qureshi", Service: "paydesk"},
 		Process: uuid.UUID{15: c.next}, Log: c.log, Asker: c.peers})
@@ -159,7 +166,6 @@
 	done := make(chan struct{})
 	go func() { defer close(done); g.Run(c.ctx) }()
 	c.t.Cleanup(func() { c.stop(); <-done })
-	time.Sleep(readWait + time.Second)
 	return g
 }
 
--- a/claims/guard.go
+++ b/claims/guard.go
@@ -24,6 +24,9 @@
 	background context.Context
 	cancel     context.CancelFunc
 	work       sync.WaitGroup
+	// atEnd reports that the last read succeeded and reached the end of the
+	// stream. Only the goroutine of Run uses it.
+	atEnd bool
 
 	mu        sync.Mutex
 	machine   *idempotency.Machine
--- a/claims/run.go
+++ b/claims/run.go
@@ -48,9 +48,16 @@
 	from := g.machine.Next()
 	g.mu.Unlock()
 	started := time.Now()
+	// A waiting read of a quiet stream would keep client keys refused for
+	// readWait after a start or a failed read.
+	wait := readWait
+	if !g.atEnd {
+		wait = 0
+	}
 	readCtx, cancel := context.WithTimeout(ctx, readWait+readGrace)
-	batch, err := g.options.Log.Read(readCtx, Stream(g.options.Service), from, readMaxRecords, readWait)
+	batch, err := g.options.Log.Read(readCtx, Stream(g.options.Service), from, readMaxRecords, wait)
 	cancel()
+	g.atEnd = err == nil && len(batch.Records) < readMaxRecords
 	if err != nil {
 		if ctx.Err() == nil {
 			g.options.Logger.Warn("claims stream not read", "service", g.options.Service.String(), "error", err)
@@ -60,7 +67,7 @@
 		return
 	}
 	g.step(idempotency.Records{Batch: batch, AtEnd: len(batch.Records) < readMaxRecords})
-	if len(batch.Records) == 0 && time.Since(started) < readWait/2 {
+	if wait > 0 && len(batch.Records) == 0 && time.Since(started) < readWait/2 {
 		// A log that does not wait must not be polled without a pause.
 		sleep(ctx, g.options.Config.RetryPause/10)
 	}
