Test the whole path with separate processes

Nodes, targets and a log service run as processes on loopback; they are killed, frozen, cut off, silenced, drained and replaced under a bounded load of reads and non-idempotent requests with all three forms of key.

--- a/internal/processtest/answer_test.go
+++ b/internal/processtest/answer_test.go
@@ -17,6 +17,7 @@
 	id, path string
 	status   int
 	kind     string
+	detail   string
 	runState string
 	replayed bool
 	body     target.Answer
@@ -53,6 +54,9 @@
 	}
 	a.status, a.kind = response.StatusCode, response.Header.Get(chainhttp.HeaderKind)
 	a.runState, a.replayed = response.Header.Get(chainhttp.HeaderRunState), response.Header.Get(chainhttp.HeaderReplayed) == "true"
+	if a.kind != "" {
+		a.detail = string(body)
+	}
 	if a.status == http.StatusOK {
 		if err := json.Unmarshal(body, &a.body); err != nil || !a.body.Complete {
 			a.wrong = "incomplete body " + string(body)
--- a/internal/processtest/cluster_test.go
+++ b/internal/processtest/cluster_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -25,6 +26,9 @@
 // allowance is the retry allowance of both services.
 const allowance = 2
 
+// slots is how many requests each target serves at once.
+const slots = 8
+
 // cluster is a set of processes with a ledger in the test's own process.
 type cluster struct {
 	t      *testing.T
@@ -35,6 +39,9 @@
 	record string
 	client *http.Client
 
+	// timeoutMS and queueTimeoutMS go into the policies.
+	timeoutMS, queueTimeoutMS int
+
 	mu      sync.Mutex
 	members []*member
 	next    int
@@ -54,7 +61,7 @@
 // newCluster starts a log service, and members of the given services.
 func newCluster(t *testing.T, services ...string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir(), ledger: newLedger(), client: &http.Client{
+	c := &cluster{t: t, timeoutMS: 4000, queueTimeoutMS: 1000, dir: t.TempDir(), ledger: newLedger(), client: &http.Client{
 		Timeout: 10 * time.Second,
 		// A new connection per request: the client never repeats a request by
 		// itself, which the ledger would show as a start too many.
@@ -156,7 +163,7 @@
 	// Connections wait until the link knows the address of the target.
 	release := targetLink.HoldDial()
 	args := []string{"target", "--service", m.service + ".acme", "--node", m.targetSide, "--announce", targetLink.Address(),
-		"--ledger", c.record, "--slots", "8", "--service-time", "5ms"}
+		"--ledger", c.record, "--slots", strconv.Itoa(slots), "--service-time", "5ms"}
 	if m.service == "front" {
 		args = append(args, "--call", "back.acme/stock")
 	}
@@ -244,12 +251,12 @@
 	policy := map[string]any{
 		"slots": slots, "connections": 32, "retry_allowance": allowance,
 		"classes": []map[string]any{
-			{"name": "pay", "importance": 0, "non_idempotent": true, "timeout_ms": 4000, "match": []map[string]any{{"methods": []string{"POST"}, "path": "/pay/**"}}},
-			{"name": "read", "importance": 5, "retryable": true, "timeout_ms": 4000, "match": []map[string]any{{"path": "/**"}}},
+			{"name": "pay", "importance": 0, "non_idempotent": true, "timeout_ms": c.timeoutMS, "match": []map[string]any{{"methods": []string{"POST"}, "path": "/pay/**"}}},
+			{"name": "read", "importance": 5, "retryable": true, "timeout_ms": c.timeoutMS, "match": []map[string]any{{"path": "/**"}}},
 		},
 	}
 	if schema == 2 {
-		policy["cold_start_ms"] = 1
+		policy["cold_start_ms"], policy["queue_timeout_ms"] = 1, c.queueTimeoutMS
 	}
 	data, err := json.Marshal(map[string]any{
 		"schema": schema, "customer": "acme", "service": service, "base": base, "op": "put", "author": name, "policy": policy,
@@ -270,7 +277,7 @@
 // every node and target serves.
 func (c *cluster) publishBoth(t *testing.T) {
 	t.Helper()
-	code, _, errs := c.publish(t, c.policyFile(t, "front", "front", 2, 0, 8), c.policyFile(t, "back", "back", 2, 0, 8))
+	code, _, errs := c.publish(t, c.policyFile(t, "front", "front", 2, 0, slots), c.policyFile(t, "back", "back", 2, 0, slots))
 	require.Zero(t, code, errs)
 	c.waitServing(t)
 }
--- /dev/null
+++ b/internal/processtest/failures_test.go
@@ -0,0 +1,158 @@
+package processtest
+
+import (
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/internal/standin/logstore"
+)
+
+// freezeTime is longer than the detection of a silent connection (1 to 2 s).
+const freezeTime = 3 * time.Second
+
+// failure is one fault in a running cluster.
+type failure struct {
+	name string
+	run  func(t *testing.T, c *cluster, l *load)
+}
+
+// inTurn runs failures one after the other under load and checks the
+// invariants after each.
+func inTurn(t *testing.T, failures ...failure) {
+	t.Parallel()
+	c := newCluster(t, "front", "front", "front", "back", "back", "back")
+	c.publishBoth(t)
+	l := c.startLoad(t)
+	l.waitGoodput(t)
+	for _, f := range failures {
+		ok := t.Run(f.name, func(t *testing.T) {
+			f.run(t, c, l)
+			l.waitGoodput(t)
+			l.check(t)
+		})
+		if !ok {
+			break
+		}
+	}
+	l.end()
+	l.check(t)
+	t.Logf("%d answers, %d of them not-run, %d keys, %d paid", len(l.answers), len(l.notRun()), len(l.keys), l.paid)
+}
+
+func freeze(p *process) {
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(freezeTime)
+	p.signal(syscall.SIGCONT)
+}
+
+// Guards against duplicate effects, false not-run reports, excess retries,
+// wrong answers and lasting damage when a process is killed.
+func TestKilledProcesses(t *testing.T) {
+	inTurn(t,
+		failure{"target", func(t *testing.T, c *cluster, l *load) {
+			for _, service := range []string{"front", "back"} {
+				m := c.of(service)[0]
+				m.killTarget()
+				l.waitGoodput(t)
+				c.startTarget(c.t, m)
+				c.waitServing(t)
+			}
+		}},
+		failure{"node", func(t *testing.T, c *cluster, l *load) {
+			for _, service := range []string{"front", "back"} {
+				m := c.of(service)[1]
+				c.remove(m)
+				m.node.kill()
+				m.killTarget()
+				l.waitGoodput(t)
+				c.startTarget(c.t, c.startNode(c.t, service))
+				c.waitServing(t)
+			}
+		}},
+		failure{"log", func(t *testing.T, c *cluster, l *load) {
+			c.log.kill()
+			waitClaimsRefused(t, l)
+			c.startLog(c.t)
+		}},
+	)
+}
+
+// Guards against the same faults as TestKilledProcesses when a process stops
+// and goes on later.
+func TestFrozenProcesses(t *testing.T) {
+	inTurn(t,
+		failure{"target", func(t *testing.T, c *cluster, l *load) {
+			freeze(c.of("front")[0].target)
+			freeze(c.of("back")[0].target)
+			c.waitServing(t)
+		}},
+		failure{"node", func(t *testing.T, c *cluster, l *load) {
+			freeze(c.of("front")[0].node)
+			freeze(c.of("back")[0].node)
+			c.waitServing(t)
+		}},
+		failure{"log", func(t *testing.T, c *cluster, l *load) {
+			freeze(c.log)
+		}},
+	)
+}
+
+// Guards against the same faults when connections break off or go silent, the
+// log service is down, and answers of appends are lost.
+func TestBrokenConnectionsAndLog(t *testing.T) {
+	each := func(c *cluster, f func(m *member)) {
+		for _, m := range c.entries() {
+			f(m)
+		}
+	}
+	inTurn(t,
+		failure{"cut node to log", func(t *testing.T, c *cluster, l *load) {
+			each(c, func(m *member) { m.logLink.Cut() })
+		}},
+		failure{"cut node to target", func(t *testing.T, c *cluster, l *load) {
+			each(c, func(m *member) { m.targetLink.Cut() })
+		}},
+		failure{"silent node to log", func(t *testing.T, c *cluster, l *load) {
+			each(c, func(m *member) { m.logLink.Silence() })
+		}},
+		failure{"silent node to target", func(t *testing.T, c *cluster, l *load) {
+			c.of("front")[0].targetLink.Silence()
+			c.of("back")[0].targetLink.Silence()
+			c.waitServing(t)
+		}},
+		failure{"log outage", func(t *testing.T, c *cluster, l *load) {
+			c.setFaults(t, logstore.Faults{Outage: true})
+			waitClaimsRefused(t, l)
+			reads := func(a answer) bool { return a.status == http.StatusOK && a.path[:4] != "/pay" }
+			before := l.count(reads)
+			waitFor(t, "reads to be served during the outage", func() bool { return l.count(reads) > before+window })
+			c.setFaults(t, logstore.Faults{})
+		}},
+		failure{"answers of appends lost", func(t *testing.T, c *cluster, l *load) {
+			lost := c.counters(t, "claims.acme.front").AnswersLost
+			c.setFaults(t, logstore.Faults{LoseAnswers: 5})
+			waitFor(t, "the answers of appends to be lost", func() bool {
+				return c.counters(t, "claims.acme.front").AnswersLost >= lost+5
+			})
+		}},
+	)
+}
+
+// waitClaimsRefused waits until requests with client keys are refused for want
+// of the log while issued keys are served.
+func waitClaimsRefused(t *testing.T, l *load) {
+	t.Helper()
+	refused := func(a answer) bool { return a.kind == "claim-unavailable" }
+	before := l.count(refused)
+	l.mu.Lock()
+	paid := l.paid
+	l.mu.Unlock()
+	waitFor(t, "refusals without the log", func() bool { return l.count(refused) > before })
+	waitFor(t, "issued keys to be served without the log", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.paid > paid+payers
+	})
+}
--- a/internal/processtest/load_test.go
+++ b/internal/processtest/load_test.go
@@ -77,6 +77,13 @@
 	}
 }
 
+// setStrict makes every connection that breaks off later a fault.
+func (l *load) setStrict() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.strict = true
+}
+
 func (l *load) entry(i int) *member {
 	entries := l.c.entries()
 	return entries[i%len(entries)]
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -17,9 +17,9 @@
 	to       string
 	open     map[net.Conn]struct{}
 	closed   bool
-	// held and undialed are closed when bytes may flow and when connections
-	// may be opened; nil means that they may.
-	held, undialed chan struct{}
+	// undialed is closed when connections may be opened; nil means that they
+	// may.
+	undialed chan struct{}
 }
 
 // New listens on a free loopback port and forwards to the given address.
@@ -44,40 +44,30 @@
 	l.to = to
 }
 
-// Hold delays all bytes until the returned function is called, which passes
-// them on in order. Hold must not be called again before that.
-func (l *Link) Hold() (release func()) { return l.delay(&l.held) }
-
 // HoldDial delays new connections until the returned function is called, for a
 // link that is made before its destination. It must not be called again before
 // that.
-func (l *Link) HoldDial() (release func()) { return l.delay(&l.undialed) }
-
-func (l *Link) delay(until *chan struct{}) (release func()) {
+func (l *Link) HoldDial() (release func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := make(chan struct{})
-	*until = c
+	undialed := make(chan struct{})
+	l.undialed = undialed
 	return sync.OnceFunc(func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		*until = nil
-		close(c)
+		l.undialed = nil
+		close(undialed)
 	})
 }
 
-func (l *Link) await(until *chan struct{}) {
+// dial opens a connection to the destination.
+func (l *Link) dial() (net.Conn, error) {
 	l.mu.Lock()
-	c := *until
+	undialed := l.undialed
 	l.mu.Unlock()
-	if c != nil {
-		<-c
+	if undialed != nil {
+		<-undialed
 	}
-}
-
-// dial opens a connection to the destination.
-func (l *Link) dial() (net.Conn, error) {
-	l.await(&l.undialed)
 	l.mu.Lock()
 	to := l.to
 	l.mu.Unlock()
@@ -145,9 +135,6 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 {
-			l.await(&l.held)
-		}
 		if l.silent.Load() == generation && n > 0 {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
