--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -12,11 +12,14 @@
 // Link forwards connections from its address to another one.
 type Link struct {
 	listener net.Listener
-	to       string
 	silent   atomic.Int64
 	mu       sync.Mutex
+	to       string
 	open     map[net.Conn]struct{}
 	closed   bool
+	// undialed is closed when connections may be opened; nil means that they
+	// may.
+	undialed chan struct{}
 }
 
 // New listens on a free loopback port and forwards to the given address.
@@ -33,6 +36,44 @@
 // Address returns the address that the link listens on.
 func (l *Link) Address() string { return l.listener.Addr().String() }
 
+// Redirect makes connections opened later go to another address. Open
+// connections stay as they are.
+func (l *Link) Redirect(to string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.to = to
+}
+
+// HoldDial delays new connections until the returned function is called, for a
+// link that is made before its destination. It must not be called again before
+// that.
+func (l *Link) HoldDial() (release func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	undialed := make(chan struct{})
+	l.undialed = undialed
+	return sync.OnceFunc(func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.undialed = nil
+		close(undialed)
+	})
+}
+
+// dial opens a connection to the destination.
+func (l *Link) dial() (net.Conn, error) {
+	l.mu.Lock()
+	undialed := l.undialed
+	l.mu.Unlock()
+	if undialed != nil {
+		<-undialed
+	}
+	l.mu.Lock()
+	to := l.to
+	l.mu.Unlock()
+	return net.Dial("tcp", to)
+}
+
 // Silence makes all open connections stop carrying bytes without closing
 // them. Connections opened later work.
 func (l *Link) Silence() { l.silent.Add(1) }
@@ -61,7 +102,7 @@
 		if err != nil {
 			return
 		}
-		out, err := net.Dial("tcp", l.to)
+		out, err := l.dial()
 		if err != nil {
 			in.Close()
 			continue
