--- a/claims/bench_test.go
+++ b/claims/bench_test.go
@@ -26,7 +26,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); g.Run(ctx) }()
 	b.Cleanup(func() { cancel(); <-done })
-	for !g.Dump().CaughtUp {
+	for !g.Ready() {
 		runtime.Gosched()
 	}
 	return g, log
@@ -104,8 +104,7 @@
 			m.Step(0, idempotency.Records{Batch: logservice.Batch{Next: i + 1,
 				Records: []logservice.Record{{Offset: i, Time: time.UnixMilli(1e9), Data: r.Encode()}}}})
 		}
-		claimed := heap()
-		b.ReportMetric((claimed-before)/keys, "B/claimed-key")
+		b.ReportMetric((heap()-before)/keys, "B/claimed-key")
 		m2 := idempotency.NewMachine(config, uuid.New(), idempotency.Seed{})
 		for _, size := range []int{0, 64} {
 			start := heap()
@@ -116,7 +115,6 @@
 			}
 			b.ReportMetric((heap()-start)/keys, fmt.Sprintf("B/executed-key-with-%d-B-response", size))
 		}
-		runtime.KeepAlive(m)
-		runtime.KeepAlive(m2)
+		runtime.KeepAlive([]any{m, m2})
 	}
 }
--- a/claims/guard.go
+++ b/claims/guard.go
@@ -232,6 +232,15 @@
 	return g.machine.Dump()
 }
 
+// Ready reports whether the claims stream was read to its end and is followed,
+// so that new client keys can be judged. It does not say that every key can:
+// after a gap, keys from before the gap are refused.
+func (g *Guard) Ready() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Ready()
+}
+
 // SetWindow changes the window when the policy changes. A longer window is
 // honoured for a key only when the claims since the key's time are known. The
 // error has kind settings-invalid.
--- a/idempotency/explore_test.go
+++ b/idempotency/explore_test.go
@@ -4,7 +4,9 @@
 	"encoding/binary"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,21 +29,19 @@
 
 // exploreEffect is one execution at the target.
 type exploreEffect struct {
-	key         string
-	fingerprint uint64
-	claim       ClaimRef
-	owner       ProcessID
-	claimTimeMS int64
-	response    string
+	key, response string
+	fingerprint   uint64
+	claim         ClaimRef
+	owner         ProcessID
+	claimTimeMS   int64
 }
 
 type exploreAttempt struct {
-	key         string
-	fingerprint uint64
-	node        *exploreNode
-	answered    bool
-	toldNotRun  bool
-	effects     int
+	key                  string
+	fingerprint          uint64
+	node                 *exploreNode
+	answered, toldNotRun bool
+	effects              int
 }
 
 type exploreToken struct {
@@ -62,38 +62,34 @@
 }
 
 type exploreNode struct {
-	id      ProcessID
-	m       *Machine
-	started int64
-	dead    bool
-	paused  bool
+	id           ProcessID
+	m            *Machine
+	started      int64
+	dead, paused bool
 }
 
 // exploreWorld holds processes, the log, a target and what callers were told.
 // One seed gives one sequence of actions.
 type exploreWorld struct {
-	rng      *rand.Rand
-	nowMS    int64 // real time
-	logMS    int64 // the log's clock
-	maxLogMS int64
-	outage   bool
-	records  []logservice.Record
-	next     uint64
-	earliest uint64
-	keepMS   int64
-	nodes    []*exploreNode
-	appends  []func(w *exploreWorld, fate int)
-	late     [][]byte
-	asks     []func(w *exploreWorld, reach bool)
-	tokens   []*exploreToken
-	attempts map[uint64]*exploreAttempt
-	replies  map[uint64]func(Outcome)
-	keys     []string
-	effects  []exploreEffect
-	notRun   []exploreNotRun
-	lastID   uint64
-	faults   []string
-	counts   map[string]int
+	rng                    *rand.Rand
+	nowMS                  int64 // real time
+	logMS                  int64 // the log's clock
+	maxLogMS, keepMS       int64
+	outage                 bool
+	records                []logservice.Record
+	next, earliest, lastID uint64
+	nodes                  []*exploreNode
+	appends                []func(w *exploreWorld, fate int)
+	late                   [][]byte
+	asks                   []func(w *exploreWorld, reach bool)
+	tokens                 []*exploreToken
+	attempts               map[uint64]*exploreAttempt
+	replies                map[uint64]func(Outcome)
+	keys                   []string
+	effects                []exploreEffect
+	notRun                 []exploreNotRun
+	faults                 []string
+	counts                 map[string]int
 }
 
 func newExploreWorld(seed uint64) *exploreWorld {
@@ -324,15 +320,13 @@
 	}
 }
 
-func takeAny[T any](rng *rand.Rand, from *[]T) (T, bool) {
-	var zero T
-	if len(*from) == 0 {
-		return zero, false
+func takeAny[T any](rng *rand.Rand, from *[]T) (v T, ok bool) {
+	if ok = len(*from) > 0; ok {
+		i := rng.IntN(len(*from))
+		v = (*from)[i]
+		*from = append((*from)[:i:i], (*from)[i+1:]...)
 	}
-	i := rng.IntN(len(*from))
-	v := (*from)[i]
-	*from = append((*from)[:i:i], (*from)[i+1:]...)
-	return v, true
+	return v, ok
 }
 
 // act performs one random action.
@@ -375,13 +369,8 @@
 			w.step(n, []Event{Cancel{Attempt: id}, ClaimTimeout{Attempt: id}}[w.rng.IntN(2)])
 		}
 	case p < 976:
-		for id := uint64(1); id <= w.lastID; id++ {
-			if _, ok := w.replies[id]; ok {
-				for _, peer := range w.nodes {
-					w.step(peer, QuestionTimeout{ID: id})
-				}
-				break
-			}
+		if len(n.m.questions) > 0 {
+			w.step(n, QuestionTimeout{ID: slices.Min(slices.Collect(maps.Keys(n.m.questions)))})
 		}
 	case p < 982:
 		n.paused = !n.paused
--- a/idempotency/fold_test.go
+++ b/idempotency/fold_test.go
@@ -14,8 +14,6 @@
 // foldLog feeds a fold with records; times are log time in milliseconds.
 type foldLog struct{ f *Fold }
 
-func newFoldLog(cfg Config) foldLog { return foldLog{NewFold(cfg)} }
-
 func (l foldLog) add(timeMS int64, data []byte) {
 	rec := logservice.Record{Offset: l.f.next, Time: time.UnixMilli(timeMS), Data: data}
 	l.f.Apply(logservice.Batch{Records: []logservice.Record{rec}, Next: rec.Offset + 1}, func(Record, int64) {})
@@ -32,7 +30,7 @@
 // Guards against a bad record that stops the fold, and against a record of a
 // newer version that is treated as if it could not be a claim.
 func TestFoldBadAndNewerRecords(t *testing.T) {
-	l := newFoldLog(exploreConfig)
+	l := foldLog{NewFold(exploreConfig)}
 	l.add(1000, []byte("garbage"))
 	l.add(1001, foldClaim(1, 1000).Encode())
 	require.Equal(t, uint64(1), l.f.badRecords)
@@ -47,7 +45,7 @@
 // Guards against a given-up claim whose late record blocks or wins the key
 // after its release.
 func TestFoldClaimAfterItsRelease(t *testing.T) {
-	l := newFoldLog(exploreConfig)
+	l := foldLog{NewFold(exploreConfig)}
 	l.add(1000, foldClaim(1, 1000).Encode())
 	l.add(1001, foldClaim(2, 1000).Encode())
 	l.add(1002, foldRelease(1))
@@ -63,7 +61,7 @@
 // Guards against execution after a gap: what was not read may be a claim that
 // is up to LogStep later than the first record read.
 func TestFoldGap(t *testing.T) {
-	l := newFoldLog(exploreConfig)
+	l := foldLog{NewFold(exploreConfig)}
 	l.f.Apply(logservice.Batch{Next: 7, Earliest: 7}, func(Record, int64) {})
 	require.False(t, l.f.complete(FormUUIDv7, 1e9, 1e9), "nothing is known before the first record")
 	l.add(100_000, Record{Type: RecordTick}.Encode())
@@ -78,7 +76,7 @@
 // Guards against a second execution after the log's clock stepped back by
 // more than LogStep, or after the window grew: the claim was forgotten.
 func TestFoldForgottenClaimsRaiseTheFloor(t *testing.T) {
-	l := newFoldLog(exploreConfig)
+	l := foldLog{NewFold(exploreConfig)}
 	l.add(1000, foldClaim(1, 1000).Encode())
 	l.add(60_000, Record{Type: RecordTick}.Encode())
 	_, ok := l.f.first(KeyHash{1})
@@ -90,7 +88,7 @@
 	_, ok = l.f.first(KeyHash{1})
 	require.True(t, ok, "claims after the step are kept by the new time")
 
-	l = newFoldLog(exploreConfig)
+	l = foldLog{NewFold(exploreConfig)}
 	l.add(1000, foldClaim(1, 1000).Encode())
 	l.add(60_000, Record{Type: RecordTick}.Encode())
 	l.f.cfg.Window = 2 * time.Minute
--- a/idempotency/machine.go
+++ b/idempotency/machine.go
@@ -84,6 +84,9 @@
 // Next returns the offset to read from.
 func (m *Machine) Next() uint64 { return m.fold.next }
 
+// Ready reports whether the stream was read to its end and can be read.
+func (m *Machine) Ready() bool { return m.caughtUp && !m.readFailing && !m.fold.gap }
+
 // Window returns Config.Window.
 func (m *Machine) Window() time.Duration { return m.cfg.Window }
 
