--- a/node/dump.go
+++ b/node/dump.go
@@ -35,7 +35,7 @@
 		"limit":      limits,
 		"chains":     map[string]any{"running": running},
 		"claims":     claimed,
-		"quarantine": n.quarantine.dump(),
+		"quarantine": n.quarantine.list(),
 		"config": map[string]any{
 			"offset": configState.Offset(), "status": n.configuration.runner.Status(),
 			"policies": configState.Policies(), "results": configState.Results(),
--- a/node/execute.go
+++ b/node/execute.go
@@ -14,6 +14,7 @@
 	"github.com/goldcrestsail/goldcrestsail/limit"
 	"github.com/goldcrestsail/goldcrestsail/peerrpc"
 	"github.com/goldcrestsail/goldcrestsail/policy"
+	"github.com/goldcrestsail/goldcrestsail/quarantine"
 )
 
 // finishGrace is how long a non-idempotent request that was passed to the
@@ -89,7 +90,7 @@
 	if call.TimeoutMicros <= 0 {
 		return kind.New(kind.DeadlineExpired, "the deadline has passed").WithRun(kind.NotRun)
 	}
-	if call.Fingerprint != 0 && n.isQuarantined(call.Fingerprint) {
+	if n.quarantine.state(call.Fingerprint) == quarantine.Quarantined {
 		return kind.New(kind.Quarantined, "the request has crashed targets")
 	}
 	x.deadline = time.Now().Add(time.Duration(call.TimeoutMicros) * time.Microsecond)
@@ -174,6 +175,7 @@
 		if err := x.token.MarkWritten(); err != nil {
 			n.chains.leave(time.Now(), token)
 			n.gate.release(id, nil)
+			x.release()
 			return nil, kind.Of(err)
 		}
 	}
@@ -187,6 +189,10 @@
 
 // send passes a request to the target and looks after a target that crashes.
 func (n *Node) send(ctx context.Context, x *execution, token chain.Token) (*peerrpc.CallResponse, *kind.Error) {
+	end, failure := n.quarantine.begin(ctx, x.call.Fingerprint, x.call.SuspectCrashes)
+	if failure != nil {
+		return nil, failure
+	}
 	run := n.target.begin(x.call.Fingerprint)
 	response, failure := n.target.clientFor(x.policy).send(ctx, &targetRequest{
 		call: x.call, token: token.String(), deadline: x.deadline, maxAnswerBytes: x.policy.MaxAnswerBytes,
@@ -202,9 +208,7 @@
 		}
 	}
 	n.target.end(run)
-	if failure == nil {
-		n.completed(x.call.Fingerprint)
-	}
+	end(failure == nil)
 	return response, failure
 }
 
--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -180,3 +180,27 @@
 	require.NotEqual(t, http.StatusOK, r.status)
 	require.LessOrEqual(t, attempts.Load(), int32(1+2), "1 first attempt and an allowance of 2")
 }
+
+// Guards against a request that takes down one target after the other while
+// its caller sends it again, with a new key each time, through other nodes.
+func TestCrashingRequestReachesAtMostTwoTargets(t *testing.T) {
+	f := newFixture(t)
+	f.publish("front", nil)
+	for range 4 {
+		f.add(target.Config{Service: "front", CrashPath: "/bad", RestartDelay: 100 * time.Millisecond, ServiceTime: time.Millisecond})
+	}
+	f.ready()
+	for i := range 6 {
+		r := f.call(f.nodes[i%4], http.MethodGet, "front", "/bad", chainhttp.HeaderKey, uuid.NewString())
+		require.NotEqual(t, http.StatusOK, r.status)
+	}
+	crashes := 0
+	for _, tgt := range f.targets {
+		crashes += tgt.Crashes()
+	}
+	require.LessOrEqual(t, crashes, 2)
+	require.Equal(t, "quarantined", f.call(f.nodes[3], http.MethodGet, "front", "/bad").kind())
+	for _, n := range f.nodes {
+		require.Eventually(t, func() bool { return f.call(n, http.MethodGet, "front", "/good").status == http.StatusOK }, eventually, 20*time.Millisecond)
+	}
+}
--- a/node/forward.go
+++ b/node/forward.go
@@ -9,6 +9,7 @@
 	"github.com/goldcrestsail/goldcrestsail/chain"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/peerrpc"
+	"github.com/goldcrestsail/goldcrestsail/quarantine"
 	"github.com/goldcrestsail/goldcrestsail/routing"
 )
 
@@ -20,6 +21,10 @@
 	maxMargin   = 5 * time.Millisecond
 )
 
+// maxCrashes is how many targets a request may crash before it is not sent
+// again. The quarantine entry of the last crash may still be on its way.
+const maxCrashes = 2
+
 // forward sends a request to a target of its service, and again to another one
 // as far as the allowance and the retry budget go.
 func (n *Node) forward(ctx context.Context, q *request, a attempts) (*peerrpc.CallResponse, *kind.Error) {
@@ -41,11 +46,11 @@
 		f.uncertain = f.uncertain || failure.Run == kind.MayHaveRun
 		if !f.mayRetry(ctx, failure) || !n.budgets.retry(q) {
 			a.end(out)
-			return nil, f.final(failure)
+			return nil, f.final(ctx, failure)
 		}
 		next, exhausted := a.again(out)
 		if exhausted != nil {
-			return nil, f.final(failure)
+			return nil, f.final(ctx, failure)
 		}
 		allowance = next
 		n.metrics.retries.Inc()
@@ -59,8 +64,10 @@
 	tried   []routing.TargetID
 	// uncertain reports that an attempt may have run.
 	uncertain bool
-	// crashes counts the targets that crashed under the request.
-	crashes uint32
+	// crashes counts the targets that crashed under the request, the last one at
+	// crashedAt.
+	crashes   uint32
+	crashedAt time.Time
 }
 
 // attempt sends the request once.
@@ -81,6 +88,7 @@
 	}
 	if failure != nil && failure.Kind == kind.TargetCrashed {
 		f.crashes++
+		f.crashedAt = now
 	}
 	return response, failure
 }
@@ -88,8 +96,15 @@
 func (f *forwarding) pick(now time.Time) (routing.TargetID, string, *kind.Error) {
 	n, q := f.node, f.request
 	in := routing.PickInput{Exclude: f.tried, MayProbe: q.class.Retryable, Pinned: q.pinned}
-	if suspect := n.isSuspect(q.fingerprint); suspect || f.crashes > 0 {
+	switch n.quarantine.state(q.fingerprint) {
+	case quarantine.Quarantined:
+		return "", "", kind.New(kind.Quarantined, "the request has crashed targets")
+	case quarantine.Suspect:
 		in.Designated = q.fingerprint
+	default:
+		if f.crashes > 0 {
+			in.Designated = q.fingerprint
+		}
 	}
 	id, address, failure := n.router.pick(now, q.name, in)
 	if failure != nil && failure.Kind == kind.NoTarget && len(f.tried) > 0 {
@@ -116,7 +131,7 @@
 
 // mayRetry reports whether a failure allows a further attempt.
 func (f *forwarding) mayRetry(ctx context.Context, failure *kind.Error) bool {
-	if !kind.AnswerFor(failure.Kind).Retry || ctx.Err() != nil {
+	if !kind.AnswerFor(failure.Kind).Retry || ctx.Err() != nil || f.crashes >= maxCrashes {
 		return false
 	}
 	if failure.Run == kind.NotRun {
@@ -130,8 +145,12 @@
 	return f.request.class.Retryable
 }
 
-// final returns the failure of the last attempt, with the run state of all.
-func (f *forwarding) final(failure *kind.Error) *kind.Error {
+// final returns the failure of the last attempt, with the run state of all. It
+// holds back a failure after a crash until the suspicion is known everywhere.
+func (f *forwarding) final(ctx context.Context, failure *kind.Error) *kind.Error {
+	if f.crashes > 0 {
+		waitFor(ctx, nil, time.Until(f.crashedAt.Add(crashReportDelay)))
+	}
 	if f.uncertain && failure.Run == kind.NotRun {
 		return failure.WithRun(kind.MayHaveRun)
 	}
--- a/node/target_side.go
+++ b/node/target_side.go
@@ -94,16 +94,19 @@
 	}
 }
 
-// watchTarget marks a target that stopped announcing itself as down.
+// watchTarget marks a target that stopped announcing itself as down, and lets
+// the quarantine table publish what it has collected.
 func (n *Node) watchTarget(ctx context.Context) {
-	if n.config.Announcement != nil {
-		return
-	}
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
+			n.quarantine.tick()
+			if a := n.config.Announcement; a != nil {
+				n.reannounce(*a)
+				continue
+			}
 			if n.target.expire(time.Now()) {
 				n.log.Warn("target stopped announcing itself")
 				n.gossip.UpdateMeta(n.meta())
@@ -114,6 +117,20 @@
 	}
 }
 
+// reannounce announces a target from the settings again once it accepts
+// connections after a crash.
+func (n *Node) reannounce(a Announcement) {
+	if _, state := n.target.current(); state != Down {
+		return
+	}
+	conn, err := net.DialTimeout("tcp", a.Address, dialTimeout)
+	if err != nil {
+		return
+	}
+	conn.Close()
+	n.announced(a)
+}
+
 // checkTargetAlive finds out after a broken connection whether the target's
 // process is gone: its port then refuses connections.
 func (n *Node) checkTargetAlive() bool {
