Give each refused attempt its own error value

Cause: attempts that are refused together shared one *kind.Error, and a caller that sets its run state would change that of the others.

Conclusion: callers may change the errors of Begin.

--- a/idempotency/machine_request.go
+++ b/idempotency/machine_request.go
@@ -231,7 +231,10 @@
 // fail refuses every waiting attempt of a key that was not executed and gives
 // up its claim.
 func (m *Machine) fail(l *localKey, err *kind.Error) {
-	m.answerAll(l, func(attempt uint64) { m.refuse(attempt, err) })
+	m.answerAll(l, func(attempt uint64) {
+		own := *err // callers may change their error
+		m.refuse(attempt, &own)
+	})
 	m.giveUp(l)
 }
 
