Let a target declare that a failure came before the effect

The target alone knows that there was no effect.

Seen: go test ./node -run Effect: a repeat after a declared failure runs, one after an undeclared failure is replayed.

The drain time of the policy only warns, because a drain cuts off nothing.

--- a/chainhttp/context.go
+++ b/chainhttp/context.go
@@ -20,6 +20,7 @@
 	HeaderRequestID   = "Goldcrestsail-Request-Id"
 	HeaderKind        = "Goldcrestsail-Kind"
 	HeaderRunState    = "Goldcrestsail-Run-State"
+	HeaderEffect      = "Goldcrestsail-Effect"
 )
 
 // TraceStateKey is the member of tracestate that carries the chain token.
--- a/node/drain.go
+++ b/node/drain.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/policy"
 )
 
 // leaveAnnouncement is how long a draining node goes on serving before it
@@ -39,7 +41,11 @@
 	// Requests that others sent before they heard of the drain are still
 	// answered, with a refusal that names it.
 	time.Sleep(leaveAnnouncement)
+	overdue := time.AfterFunc(n.drainTime(), func() {
+		n.log.Warn("requests still in progress after the drain time; waiting for them", "requests", n.work.current())
+	})
 	n.work.wait()
+	overdue.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveAnnouncement)
 	defer cancel()
 	// Shutdown waits until the last responses are written.
@@ -53,6 +59,15 @@
 	}
 }
 
+// drainTime returns the time that the policy expects a drain to take.
+func (n *Node) drainTime() time.Duration {
+	a, _ := n.target.current()
+	if p := n.policyOf(a.service()); p != nil {
+		return p.DrainTime
+	}
+	return policy.DefaultDrainTime
+}
+
 func shutdown(ctx context.Context, s *http.Server) {
 	if s.Shutdown(ctx) != nil {
 		s.Close()
--- a/node/execute.go
+++ b/node/execute.go
@@ -184,11 +184,14 @@
 	x.unused, x.visited = summary.Unused, summary.Visited
 	n.gate.release(id, sampleOf(summary, failure))
 	x.settle(response, failure)
-	return response, failure
+	if failure != nil {
+		return nil, failure
+	}
+	return response.CallResponse, nil
 }
 
 // send passes a request to the target and looks after a target that crashes.
-func (n *Node) send(ctx context.Context, x *execution, token chain.Token) (*peerrpc.CallResponse, *kind.Error) {
+func (n *Node) send(ctx context.Context, x *execution, token chain.Token) (*targetResponse, *kind.Error) {
 	end, failure := n.quarantine.begin(ctx, x.call.Fingerprint, x.call.SuspectCrashes)
 	if failure != nil {
 		return nil, failure
@@ -213,7 +216,7 @@
 }
 
 // settle ends the claim of a non-idempotent request.
-func (x *execution) settle(response *peerrpc.CallResponse, failure *kind.Error) {
+func (x *execution) settle(response *targetResponse, failure *kind.Error) {
 	if x.token == nil {
 		return
 	}
@@ -225,7 +228,11 @@
 		x.token.Lost()
 		return
 	}
-	stored, err := proto.Marshal(response)
+	if response.noEffect {
+		x.token.Release()
+		return
+	}
+	stored, err := proto.Marshal(response.CallResponse)
 	if err != nil {
 		x.token.Lost()
 		return
--- a/node/forward.go
+++ b/node/forward.go
@@ -73,6 +73,9 @@
 // attempt sends the request once.
 func (f *forwarding) attempt(ctx context.Context, allowance int) (*peerrpc.CallResponse, *kind.Error) {
 	n, q := f.node, f.request
+	if ctx.Err() != nil {
+		return nil, kind.New(kind.DeadlineExpired, "the deadline has passed before the request was sent").WithRun(kind.NotRun)
+	}
 	start := time.Now()
 	id, address, failure := f.pick(start)
 	if failure != nil {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -122,3 +123,28 @@
 	close(stop)
 	wait.Wait()
 }
+
+// Guards against a key that is used up by a failure before the effect: the
+// repeat must run, while a failure without that statement is replayed.
+func TestFailureBeforeTheEffectDoesNotUseUpTheKey(t *testing.T) {
+	f := newFixture(t)
+	f.publish("front", nil)
+	var fail atomic.Bool
+	n := f.addHandler("front", func(w http.ResponseWriter, r *http.Request) {
+		if !fail.Load() {
+			return
+		}
+		if r.URL.Path == "/pay/declared" {
+			chainhttp.NoEffect(w)
+		}
+		w.WriteHeader(http.StatusBadGateway)
+	}, nil)
+	f.ready()
+	for path, repeat := range map[string]int{"/pay/declared": http.StatusOK, "/pay/undeclared": http.StatusBadGateway} {
+		key := uuid.Must(uuid.NewV7()).String()
+		fail.Store(true)
+		require.Equal(t, http.StatusBadGateway, f.call(n, http.MethodPost, "front", path, chainhttp.HeaderKey, key).status)
+		fail.Store(false)
+		require.Equal(t, repeat, f.call(n, http.MethodPost, "front", path, chainhttp.HeaderKey, key).status, path)
+	}
+}
--- a/node/request.go
+++ b/node/request.go
@@ -53,7 +53,7 @@
 var responseHopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 	"Content-Length": true, chainhttp.HeaderRequestID: true, chainhttp.HeaderKind: true,
-	chainhttp.HeaderRunState: true, chainhttp.HeaderReplayed: true,
+	chainhttp.HeaderRunState: true, chainhttp.HeaderReplayed: true, chainhttp.HeaderEffect: true,
 }
 
 func malformed(field, value, allowed string) *kind.Error {
--- a/node/target_client.go
+++ b/node/target_client.go
@@ -56,9 +56,16 @@
 func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
 func (emptyBody) Close() error             { return nil }
 
+// targetResponse is the whole response of the target.
+type targetResponse struct {
+	*peerrpc.CallResponse
+	// noEffect reports that the target failed before the request took effect.
+	noEffect bool
+}
+
 // send sends a request and reads the whole answer. The error has run state
 // not-run only if nothing was written to the target.
-func (c *targetClient) send(ctx context.Context, q *targetRequest) (*peerrpc.CallResponse, *kind.Error) {
+func (c *targetClient) send(ctx context.Context, q *targetRequest) (*targetResponse, *kind.Error) {
 	wrote := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
 		wrote = true
@@ -85,9 +92,12 @@
 	if response.StatusCode == http.StatusServiceUnavailable && kind.RunState(response.Header.Get(chainhttp.HeaderRunState)) == kind.NotRun {
 		return nil, kind.New(kind.Shed, "the target refused the request")
 	}
-	return &peerrpc.CallResponse{
-		RequestId: q.call.RequestId, Status: uint32(response.StatusCode), RunState: string(kind.Ran),
-		Headers: copyHeaders(response.Header, responseHopHeaders), Body: body,
+	return &targetResponse{
+		CallResponse: &peerrpc.CallResponse{
+			RequestId: q.call.RequestId, Status: uint32(response.StatusCode), RunState: string(kind.Ran),
+			Headers: copyHeaders(response.Header, responseHopHeaders), Body: body,
+		},
+		noEffect: response.StatusCode >= http.StatusInternalServerError && response.Header.Get(chainhttp.HeaderEffect) == chainhttp.EffectNone,
 	}, nil
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -21,7 +21,8 @@
 	RetryAllowance int
 	// RetryBudgetRatio is the share of first tries that may be retried, 0 to 1.
 	RetryBudgetRatio float64
-	// DrainTime bounds the wait for requests in progress on shutdown.
+	// DrainTime is how long requests in progress may take on shutdown before
+	// the node warns. It cuts off none of them.
 	DrainTime time.Duration
 	// ColdStart is the ramp from MinLimit to Slots of a target that has started.
 	ColdStart time.Duration
