--- a/internal/processtest/claim_holder_test.go
+++ b/internal/processtest/claim_holder_test.go
@@ -70,41 +70,15 @@
 	c.publishBoth(t)
 	for _, form := range []string{"uuid", "opaque"} {
 		t.Run(form, func(t *testing.T) {
-			key := uuid.Must(uuid.NewV7()).String()
-			if form == "opaque" {
-				key = "opaque-" + newID()
-			}
-			path := "/pay/" + newID()
-			_, from := c.claims(t, 0)
 			release := c.fill(t)
 			members := c.of("front")
-			first := make(chan answer, 1)
-			go func() { first <- c.send(members[0], http.MethodPost, path, newID(), key) }()
-			var holder, other *member
-			waitFor(t, "the claim", func() bool {
-				select {
-				case a := <-first:
-					require.Equal(t, "claim-unavailable", a.kind, "%s", a.detail)
-					go func() { first <- c.send(members[0], http.MethodPost, path, newID(), key) }()
-				default:
-				}
-				claims, _ := c.claims(t, from)
-				for _, claim := range claims {
-					for i, m := range members {
-						if claim.Owner.String() == m.id {
-							holder, other = m, members[1-i]
-						}
-					}
-				}
-				return holder != nil
-			})
-			_, next := c.claims(t, from)
-			waitFor(t, "the holder to know that it won", func() bool { return c.claimsRead(holder) >= next })
+			holder, other := members[0], members[1]
+			path, key := c.claimAt(t, holder, form)
 			holder.node.signal(syscall.SIGSTOP)
 			t.Cleanup(func() { holder.node.signal(syscall.SIGCONT) })
 			release()
 
-			waitFor(t, "the repeat elsewhere to be answered", func() bool {
+			waitFor(t, "the repeat elsewhere to be refused", func() bool {
 				a := c.send(other, http.MethodPost, path, newID(), key)
 				require.NotEqual(t, http.StatusOK, a.status, "the repeat was served beside the holder")
 				return a.kind == "claim-lost" && a.runState == "may-have-run"
@@ -122,6 +96,38 @@
 	}
 }
 
+// claimAt sends requests with new keys through a member until the member
+// itself has won the claim of one, and returns its path and key. The request
+// then waits for a slot; its caller stays connected to the holder.
+func (c *cluster) claimAt(t *testing.T, holder *member, form string) (path, key string) {
+	t.Helper()
+	won := false
+	waitFor(t, "a claim of the entry node", func() bool {
+		key = uuid.Must(uuid.NewV7()).String()
+		if form == "opaque" {
+			key = "opaque-" + newID()
+		}
+		parsed, err := idempotency.ParseKey(key)
+		require.NoError(t, err)
+		path = "/pay/" + newID()
+		_, from := c.claims(t, 0)
+		ended := make(chan answer, 1)
+		go func() { ended <- c.send(holder, http.MethodPost, path, newID(), key) }()
+		waitFor(t, "the claim, or a refusal", func() bool {
+			claims, next := c.claims(t, from)
+			for _, claim := range claims {
+				if claim.Hash == parsed.Hash {
+					won = claim.Owner.String() == holder.id && c.claimsRead(holder) >= next
+					return won || claim.Owner.String() != holder.id
+				}
+			}
+			return len(ended) > 0
+		})
+		return won
+	})
+	return path, key
+}
+
 // claimsRead returns the offset up to which a member has read the claims.
 func (c *cluster) claimsRead(m *member) uint64 {
 	var dump struct {
