--- a/gossip/transport_test.go
+++ b/gossip/transport_test.go
@@ -124,17 +124,51 @@
 	require.Eventually(t, func() bool { return c.Stats().Malformed == 1 }, 30*time.Second, time.Millisecond)
 }
 
-// TestLeaveEndsWithContext guards against a departure that hangs: a node that
-// can't reach anybody must still stop when its caller's time is up.
-func TestLeaveEndsWithContext(t *testing.T) {
+// TestLeaveEnds guards against a departure that hangs: a node without peers
+// leaves at once, and one with peers stops when its caller's time is up.
+func TestLeaveEnds(t *testing.T) {
+	alone, _ := start(t, 1001)
+	require.NoError(t, alone.Leave(context.Background()))
+	require.NoError(t, alone.Close())
+
 	a, _ := start(t, 1001)
+	b, r := start(t, 1002, a.Addr())
+	r.wait(t, func() bool { return len(r.members) >= 1 })
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	err := a.Leave(ctx)
-	if err != nil {
-		require.ErrorIs(t, err, context.Canceled)
-	}
-	require.NoError(t, a.Close())
+	require.ErrorIs(t, b.Leave(ctx), context.Canceled)
+}
+
+// slowDelegate calls back into the transport and takes its time.
+type slowDelegate struct {
+	recorder
+	transport chan *gossip.Transport
+	release   chan struct{}
+}
+
+func (d *slowDelegate) MemberChanged(m membership.Member) {
+	<-d.release
+	tr := <-d.transport
+	tr.Members()
+	tr.UpdateMeta(membership.Meta{Slots: uint32(len(tr.Members()))})
+	d.transport <- tr
+	d.recorder.MemberChanged(m)
+}
+
+// TestSlowDelegate guards against a delegate that stops the protocol, or that
+// deadlocks when it calls back.
+func TestSlowDelegate(t *testing.T) {
+	d := &slowDelegate{recorder: *newRecorder(), transport: make(chan *gossip.Transport, 1), release: make(chan struct{})}
+	tr, err := gossip.Start(gossip.Config{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Delegate: d,
+		Membership: membership.Config{Cluster: "test"}})
+	require.NoError(t, err)
+	d.transport <- tr
+	other, r := start(t, 1002, tr.Addr())
+	r.wait(t, func() bool { return len(r.members) >= 1 })
+	require.NoError(t, other.Leave(context.Background()))
+	close(d.release)
+	d.wait(t, func() bool { return d.members[other.Addr()].State == membership.Left })
+	require.NoError(t, tr.Close())
 }
 
 // TestStartRejectsFaults guards against a node that starts with faulty settings.
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -14,6 +14,7 @@
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/limit"
 	"github.com/goldcrestsail/goldcrestsail/policy"
+	"github.com/goldcrestsail/goldcrestsail/quarantine"
 	"github.com/goldcrestsail/goldcrestsail/retry"
 	"github.com/goldcrestsail/goldcrestsail/routing"
 	"github.com/goldcrestsail/goldcrestsail/shedding"
@@ -24,17 +25,19 @@
 // node is the node beside one target: the decision packages and the path of a
 // call between them.
 type node struct {
-	w        *world
-	layer    *layer
-	target   *target
-	rng      *rand.Rand
-	policies map[string]*policy.Policy
-	routes   map[string]*routing.Table
-	budgets  map[string]*retry.Budget
-	queue    *admission.Queue
-	limiter  *limit.Limiter
-	chains   *chain.Table
-	shed     *shedding.Table
+	w          *world
+	layer      *layer
+	target     *target
+	rng        *rand.Rand
+	policies   map[string]*policy.Policy
+	routes     map[string]*routing.Table
+	budgets    map[string]*retry.Budget
+	queue      *admission.Queue
+	limiter    *limit.Limiter
+	chains     *chain.Table
+	shed       *shedding.Table
+	quarantine *quarantine.Table
+	reports    *reports
 	// claims is nil when the service has no non-idempotent class.
 	claims *claims
 
@@ -46,6 +49,8 @@
 	expiry                *timer
 	draining, starting    bool
 	passed                service
+	// observedAt is when the limiter last got a sample.
+	observedAt time.Time
 }
 
 // served is a request at the node beside its target.
@@ -54,7 +59,9 @@
 	id    admission.ID
 	token chain.Token
 	// claim is the token of the idempotency key, or 0.
-	claim   uint64
+	claim uint64
+	// trial says that the request is a suspect that runs alone.
+	trial   bool
 	request peerRequest
 	arrived time.Time
 	job     *job
@@ -68,7 +75,7 @@
 		w: l.w, layer: l, target: t, rng: l.newRand(t), policies: map[string]*policy.Policy{},
 		routes: map[string]*routing.Table{}, budgets: map[string]*retry.Budget{},
 		chains: chain.NewTable(chain.Config{}), shed: shedding.NewTable(shedding.Config{}),
-		served: map[admission.ID]*served{},
+		served: map[admission.ID]*served{}, quarantine: quarantine.New(quarantine.Config{Reporter: uint64(t.index) + 1}.WithDefaults()),
 	}
 	for i := range l.w.head.Services {
 		s := &l.w.head.Services[i]
@@ -89,6 +96,8 @@
 		n.claims = newClaims(n)
 	}
 	n.tick()
+	n.tickQuarantine()
+	n.reports = newReports(n)
 	return n
 }
 
@@ -106,6 +115,37 @@
 	}
 }
 
+// propagationTime is how long the report of a crash is held back.
+const propagationTime = time.Second
+
+func (n *node) tickQuarantine() {
+	n.publish(n.quarantine.Tick(n.w.now))
+	n.w.after(propagationTime/2, n.tickQuarantine)
+}
+
+// publish spreads entries of the quarantine within the time of the gossip.
+func (n *node) publish(effects []quarantine.Effect) {
+	for _, effect := range effects {
+		entry := effect.(quarantine.Publish).Entry
+		for _, other := range n.layer.nodes {
+			if other != n {
+				n.w.after(n.layer.gossipDelay(n, other), func() { other.quarantine.Merge(n.w.now, entry) })
+			}
+		}
+	}
+}
+
+// reportCrash makes suspects of the requests that the target had.
+func (n *node) reportCrash() {
+	var inFlight []quarantine.Fingerprint
+	for _, id := range slices.Sorted(maps.Keys(n.served)) {
+		if s := n.served[id]; s.job != nil {
+			inFlight = append(inFlight, quarantine.Fingerprint(s.request.fingerprint))
+		}
+	}
+	n.publish(n.quarantine.Crashed(n.w.now, inFlight))
+}
+
 // refuseWaiting refuses every request that the target has not got.
 func (n *node) refuseWaiting() {
 	n.starting = true
@@ -147,6 +187,19 @@
 		s.refuse(kind.Starting)
 		return nil
 	}
+	f := quarantine.Fingerprint(r.fingerprint)
+	switch n.quarantine.Check(n.w.now, f).State {
+	case quarantine.Quarantined:
+		s.refuse(kind.Quarantined)
+		return nil
+	case quarantine.Suspect:
+		if !n.quarantine.BeginTrial(n.w.now, f) {
+			s.refuse(kind.Shed)
+			return nil
+		}
+		s.trial = true
+	}
+	n.reports.called(r.from)
 	n.nextID++
 	s.id = n.nextID
 	if r.op.NonIdempotent {
@@ -162,10 +215,22 @@
 	n.byImportance[s.request.importance]++
 	n.waiting[s.request.importance]++
 	n.decide(n.queue.Offer(n.w.now, admission.Request{
-		ID: s.id, Rank: s.request.rank(), Deadline: s.request.deadline, ServiceTime: n.limiter.ServiceTime(),
+		ID: s.id, Rank: s.request.rank(), Deadline: s.request.deadline, ServiceTime: n.serviceTime(),
 	}))
 }
 
+// serviceTimeAge is the age from which the service time is not used any more:
+// when every request is refused because the target is too slow for its deadline,
+// no newer one is measured.
+const serviceTimeAge = 500 * time.Millisecond
+
+func (n *node) serviceTime() time.Duration {
+	if n.w.now.Sub(n.observedAt) > serviceTimeAge {
+		return 0
+	}
+	return n.limiter.ServiceTime()
+}
+
 func (n *node) forget(s *served) {
 	delete(n.served, s.id)
 	n.byImportance[s.request.importance]--
@@ -243,6 +308,8 @@
 // finished returns the response of the target.
 func (s *served) finished(p reply) {
 	summary := s.leave(false)
+	s.trial = false
+	s.node.publish(s.node.quarantine.Completed(s.node.w.now, quarantine.Fingerprint(s.request.fingerprint)))
 	if s.claim != 0 {
 		s.node.claims.step(idempotency.Finish{Token: s.claim, Response: p.encode()})
 	}
@@ -254,6 +321,7 @@
 	n, now := s.node, s.node.w.now
 	summary, _ := n.chains.Leave(now, s.token)
 	n.forget(s)
+	n.observedAt = now
 	n.limiter.Observe(now, limit.Sample{
 		Latency: summary.Own, Total: summary.Total, InFlight: len(n.target.running) + len(n.target.waiting) + 1, TimedOut: timedOut,
 	})
@@ -268,15 +336,25 @@
 	if s.claim != 0 {
 		s.node.claims.step(idempotency.Lost{Token: s.claim})
 	}
-	s.respond(s.reply(refusal(kind.TargetCrashed), 0, nil))
+	// Held back, so that every node knows of the suspicion when the caller sends
+	// the request again.
+	s.node.w.after(propagationTime, func() { s.respond(s.reply(refusal(kind.TargetCrashed), 0, nil)) })
 }
 
 // refuse answers that the request was not run.
 func (s *served) refuse(k kind.Kind) {
+	s.endTrial()
 	s.release()
 	s.respond(s.reply(refusal(k).notRun(), s.request.allowance, nil))
 }
 
+func (s *served) endTrial() {
+	if s.trial {
+		s.node.quarantine.EndTrial(quarantine.Fingerprint(s.request.fingerprint))
+		s.trial = false
+	}
+}
+
 // release gives up the claim of a request that the target has not got.
 func (s *served) release() {
 	if s.claim != 0 {
@@ -290,6 +368,15 @@
 	return p
 }
 
+// load is what the node reports of its target.
+func (n *node) load() routing.Load {
+	stats := n.queue.Stats(n.w.now)
+	return routing.Load{
+		InFlight: stats.Running, Waiting: stats.Waiting, Limit: stats.Limit, Draining: n.draining,
+		ByImportance: slices.Clone(n.byImportance[:]), ServiceTime: n.limiter.ServiceTime(),
+	}
+}
+
 // reply adds the load and the levels to a response.
 func (s *served) reply(p reply, unused int, visited []string) peerReply {
 	n, now := s.node, s.node.w.now
@@ -297,10 +384,7 @@
 	own := serviceLevel{n.target.service.Name, n.target.id, stats.Level, now}
 	return peerReply{
 		reply: p, unused: unused, visited: visited, levels: mergeLevels([]serviceLevel{own}, s.levels),
-		load: &routing.Load{
-			InFlight: stats.Running, Waiting: stats.Waiting, Limit: stats.Limit, Draining: n.draining,
-			ByImportance: slices.Clone(n.byImportance[:]),
-		},
+		load: n.reports.withResponse(s.request.from),
 	}
 }
 
@@ -319,12 +403,14 @@
 	if s.job == nil {
 		n.forget(s)
 		s.release()
+		s.endTrial()
 		n.decide(n.queue.Cancel(n.w.now, s.id))
 		return
 	}
 	if s.request.op.NonIdempotent {
 		return
 	}
+	s.endTrial()
 	n.target.cancel(s.job)
 	s.leave(true)
 }
--- a/membership/node.go
+++ b/membership/node.go
@@ -69,6 +69,8 @@
 	// joinBackoff is the time until the next contact of a seed.
 	joinBackoff time.Duration
 	stopped     bool
+	// leaveRounds counts the rounds of updates since the departure began.
+	leaveRounds int
 
 	nextProbe, nextUrgent, nextSync, nextDeadProbe, nextHousekeeping time.Time
 	// requestedAt is when a bucket was last asked for.
@@ -219,7 +221,7 @@
 // sendLimit is how often this node sends one update.
 func (n *Node) sendLimit() int {
 	// Small clusters would otherwise lose an update to a few lost datagrams.
-	const least = 10
+	const least = 12
 	limit := int(math.Ceil(n.cfg.RetransmitFactor * math.Log2(float64(len(n.present)+2))))
 	return min(max(limit, least), maxSends-1)
 }
--- a/membership/rumor.go
+++ b/membership/rumor.go
@@ -20,7 +20,9 @@
 	urgencies
 )
 
-// rumor is the dissemination state of a member entry or a broadcast.
+// rumor is the dissemination state of a member entry or a broadcast. Counting
+// copies heard follows rumor mongering with feedback (Demers et al.: "Epidemic
+// Algorithms for Replicated Database Maintenance", PODC 1987).
 type rumor struct {
 	// version tells the queued item of the latest news from older ones.
 	version uint32
@@ -56,8 +58,11 @@
 	return r.queued && r.version == i.version
 }
 
+// hear notes that another member sent the same news. Urgent news is sent its
+// full number of times all the same: its rounds follow each other so closely
+// that the copies heard say little about the members that missed it.
 func (r *rumor) hear() {
-	if r.queued && r.heard < maxSends {
+	if r.queued && r.urgency != urgent && r.heard < maxSends {
 		r.heard++
 	}
 }
--- a/node/execute.go
+++ b/node/execute.go
@@ -14,6 +14,7 @@
 	"github.com/goldcrestsail/goldcrestsail/limit"
 	"github.com/goldcrestsail/goldcrestsail/peerrpc"
 	"github.com/goldcrestsail/goldcrestsail/policy"
+	"github.com/goldcrestsail/goldcrestsail/quarantine"
 )
 
 // finishGrace is how long a non-idempotent request that was passed to the
@@ -85,10 +86,11 @@
 	if x.policy = n.policyOf(name); x.policy == nil {
 		return kind.Newf(kind.UnknownService, "no policy for %s", name)
 	}
+	n.ensurePolicy(x.policy)
 	if call.TimeoutMicros <= 0 {
 		return kind.New(kind.DeadlineExpired, "the deadline has passed").WithRun(kind.NotRun)
 	}
-	if call.Fingerprint != 0 && n.isQuarantined(call.Fingerprint) {
+	if n.quarantine.state(call.Fingerprint) == quarantine.Quarantined {
 		return kind.New(kind.Quarantined, "the request has crashed targets")
 	}
 	x.deadline = time.Now().Add(time.Duration(call.TimeoutMicros) * time.Microsecond)
@@ -173,6 +175,7 @@
 		if err := x.token.MarkWritten(); err != nil {
 			n.chains.leave(time.Now(), token)
 			n.gate.release(id, nil)
+			x.release()
 			return nil, kind.Of(err)
 		}
 	}
@@ -186,6 +189,10 @@
 
 // send passes a request to the target and looks after a target that crashes.
 func (n *Node) send(ctx context.Context, x *execution, token chain.Token) (*peerrpc.CallResponse, *kind.Error) {
+	end, failure := n.quarantine.begin(ctx, x.call.Fingerprint, x.call.SuspectCrashes)
+	if failure != nil {
+		return nil, failure
+	}
 	run := n.target.begin(x.call.Fingerprint)
 	response, failure := n.target.clientFor(x.policy).send(ctx, &targetRequest{
 		call: x.call, token: token.String(), deadline: x.deadline, maxAnswerBytes: x.policy.MaxAnswerBytes,
@@ -193,13 +200,15 @@
 	if failure != nil {
 		switch failure.Kind {
 		case kind.TargetCrashed, kind.AnswerTruncated, kind.DialFailed:
-			n.checkTargetAlive()
+			if n.checkTargetAlive() && failure.Kind == kind.TargetCrashed {
+				// Only the connection broke. A crash would take the target out of
+				// routing until it announces itself again.
+				failure = kind.Newf(kind.AnswerTruncated, "the connection ended before the answer: %s", failure.Detail)
+			}
 		}
 	}
 	n.target.end(run)
-	if failure == nil {
-		n.completed(x.call.Fingerprint)
-	}
+	end(failure == nil)
 	return response, failure
 }
 
--- a/node/target_side.go
+++ b/node/target_side.go
@@ -12,6 +12,7 @@
 
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/limit"
+	"github.com/goldcrestsail/goldcrestsail/policy"
 )
 
 const (
@@ -80,20 +81,32 @@
 	if p == nil {
 		return
 	}
+	n.applied.Store(p)
 	n.gate.configure(time.Now(), p, a.Slots)
 	n.guards.ensure(p)
 }
 
-// watchTarget marks a target that stopped announcing itself as down.
-func (n *Node) watchTarget(ctx context.Context) {
-	if n.config.Announcement != nil {
-		return
+// ensurePolicy applies a policy that came into force a moment ago, so that no
+// request meets the limits of an older one.
+func (n *Node) ensurePolicy(p *policy.Policy) {
+	if n.applied.Load() != p {
+		n.applyPolicy()
 	}
+}
+
+// watchTarget marks a target that stopped announcing itself as down, and lets
+// the quarantine table publish what it has collected.
+func (n *Node) watchTarget(ctx context.Context) {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
+			n.quarantine.tick()
+			if a := n.config.Announcement; a != nil {
+				n.reannounce(*a)
+				continue
+			}
 			if n.target.expire(time.Now()) {
 				n.log.Warn("target stopped announcing itself")
 				n.gossip.UpdateMeta(n.meta())
@@ -104,23 +117,38 @@
 	}
 }
 
+// reannounce announces a target from the settings again once it accepts
+// connections after a crash.
+func (n *Node) reannounce(a Announcement) {
+	if _, state := n.target.current(); state != Down {
+		return
+	}
+	conn, err := net.DialTimeout("tcp", a.Address, dialTimeout)
+	if err != nil {
+		return
+	}
+	conn.Close()
+	n.announced(a)
+}
+
 // checkTargetAlive finds out after a broken connection whether the target's
 // process is gone: its port then refuses connections.
-func (n *Node) checkTargetAlive() {
+func (n *Node) checkTargetAlive() bool {
 	a, state := n.target.current()
 	if state == Down {
-		return
+		return false
 	}
 	conn, err := net.DialTimeout("tcp", a.Address, dialTimeout)
 	if err == nil {
 		conn.Close()
-		return
+		return true
 	}
 	fingerprints, changed := n.target.markDown(time.Now())
 	if !changed {
-		return
+		return false
 	}
 	n.log.Warn("target is down", "address", a.Address, "error", err, "in_flight", len(fingerprints))
 	n.gossip.UpdateMeta(n.meta())
 	n.quarantine.crashed(fingerprints)
+	return false
 }
--- a/routing/cost.go
+++ b/routing/cost.go
@@ -12,11 +12,20 @@
 	idleCost = 0.25
 	// latencyWeight is the weight of a new sample in the moving average.
 	latencyWeight = 0.1
+	// serviceTimeHalfLife smooths reported service times, whose means are over
+	// few requests.
+	serviceTimeHalfLife = 500 * time.Millisecond
+	// latencyNoise is the ratio of two latencies up to which they count as
+	// equal. Within it, balancing by load does better.
+	latencyNoise = 1.5
 	// latencyHalfLife is the age at which a latency counts half.
 	latencyHalfLife = 2 * time.Second
 	// maxLatencyFactor bounds the influence of latency, so that a target with
 	// one slow response still gets the calls that correct its average.
 	maxLatencyFactor = 4
+	// outlierLatency is the multiple of the mean latency from which a target
+	// that lets deadlines expire counts as failing.
+	outlierLatency = 2
 	// refusalHalfLife is about the time in which a queue of one queue timeout
 	// drains.
 	refusalHalfLife = 200 * time.Millisecond
@@ -30,7 +39,7 @@
 // It is the expected utilization times a factor for latency and a factor for
 // recent refusals.
 func (t *Table) cost(g *target, now time.Time, importance int) float64 {
-	return (idleCost + t.utilization(g, now, importance)) * t.latencyFactor(g, now) * (1 + g.refusalsAt(now))
+	return (idleCost + t.utilization(g, now, importance)) * t.latencyFactor(g, now) * (1 + g.refusalsAt(now, importance))
 }
 
 // utilization estimates the work at a target over its limit. A reported load
@@ -81,18 +90,45 @@
 		return 1
 	}
 	ratio := min(max(g.latency/t.meanLatency, 1.0/maxLatencyFactor), maxLatencyFactor)
+	if ratio > 1/latencyNoise && ratio < latencyNoise {
+		return 1
+	}
 	return math.Pow(ratio, halved(1, now.Sub(g.latencyAt), latencyHalfLife))
 }
 
-func (g *target) refusalsAt(now time.Time) float64 {
-	if g.refusals == 0 {
+// learnAtLeast enters the latency of a call that ended without a response.
+func (t *Table) learnAtLeast(g *target, now time.Time, latency time.Duration) {
+	if latency.Seconds() > g.latency {
+		t.learnLatency(g, now, latency)
+	}
+}
+
+// isOutlier reports whether a target is much slower than the mean.
+func (t *Table) isOutlier(g *target) bool {
+	return g.latency > outlierLatency*t.meanLatency
+}
+
+// refusalsAt returns the recent refusals of calls that were at least as
+// important. Under strict priority the others say nothing.
+func (g *target) refusalsAt(now time.Time, importance int) float64 {
+	if g.refusedAt.IsZero() {
 		return 0
 	}
-	return halved(g.refusals, now.Sub(g.refusedAt), refusalHalfLife)
+	n := 0.0
+	for _, r := range g.refusals[:clamp(importance)+1] {
+		n += r
+	}
+	return min(halved(n, now.Sub(g.refusedAt), refusalHalfLife), maxRefusals)
 }
 
 func (t *Table) learnLoad(g *target, now time.Time, load Load) {
 	g.load, g.loadAt, g.ownAtLoad, g.ownByAtLoad = load, now, g.own, g.ownBy
+	if load.ServiceTime > 0 {
+		// Reports come with every refusal as well, so their weight follows from
+		// time: many reports of one mean say no more than one.
+		weight := 1 - halved(1, now.Sub(g.latencyAt), serviceTimeHalfLife)
+		t.enterLatency(g, now, load.ServiceTime, weight)
+	}
 	t.meanOthers += meanWeight * (g.othersAtLoad() - t.meanOthers)
 	for i := range t.meanAhead {
 		t.meanAhead[i] += meanWeight * (g.aheadAtLoad(i) - t.meanAhead[i])
@@ -100,6 +136,10 @@
 }
 
 func (t *Table) learnLatency(g *target, now time.Time, latency time.Duration) {
+	t.enterLatency(g, now, latency, latencyWeight)
+}
+
+func (t *Table) enterLatency(g *target, now time.Time, latency time.Duration, weight float64) {
 	s := latency.Seconds()
 	if s <= 0 {
 		return
@@ -107,16 +147,21 @@
 	if g.latency == 0 {
 		g.latency = s
 	}
-	g.latency += latencyWeight * (s - g.latency)
+	g.latency += weight * (s - g.latency)
 	g.latencyAt = now
 	if t.meanLatency == 0 {
 		t.meanLatency = s
 	}
-	t.meanLatency += meanWeight * (s - t.meanLatency)
+	t.meanLatency += weight / float64(len(t.ranking)) * (s - t.meanLatency)
 }
 
-func (g *target) learnRefusal(now time.Time) {
-	g.refusals = min(g.refusalsAt(now)+1, maxRefusals)
+func (g *target) learnRefusal(now time.Time, importance int) {
+	left := halved(1, now.Sub(g.refusedAt), refusalHalfLife)
+	for i := range g.refusals {
+		g.refusals[i] *= left
+	}
+	i := clamp(importance)
+	g.refusals[i] = min(g.refusals[i]+1, maxRefusals)
 	g.refusedAt = now
 }
 
