--- a/internal/replay/layer.go
+++ b/internal/replay/layer.go
@@ -88,6 +88,7 @@
 		ChainLevel: admission.ChainLevel(request.chainID),
 	}, now, n.rng)
 	if verdict.Refuse {
+		l.checkEarlyInversion(r.op, verdict.Service)
 		done(refusal(kind.ShedEarly))
 		return nil
 	}
@@ -106,6 +107,25 @@
 	return f.cancel
 }
 
+// earlyInversionWindow is the time before an early refusal in which a less
+// important request must not have begun at the service that it was refused for.
+// Levels are set anew at this interval.
+const earlyInversionWindow = admission.LevelInterval
+
+// checkEarlyInversion counts an important request that is refused at the entry
+// although a less important one has just begun at the service named.
+func (l *layer) checkEarlyInversion(op *Operation, service string) {
+	if !op.Important {
+		return
+	}
+	for _, t := range l.w.byService[service] {
+		if l.nodes[t.index].passed.inverted(op.Importance, l.w.now.Add(-earlyInversionWindow)) {
+			l.w.ledger.inversions++
+			return
+		}
+	}
+}
+
 // subCall is the entry of a sub-call: everything but the operation comes from
 // the chain table of the node.
 func (l *layer) subCall(parent *job, op *Operation, done func(reply)) func() {
