Leave the most important requests to the queue within their own importance

After the queue of a service had emptied, entry nodes still refused payouts, orders and quotes for it while it served less important requests. Protected importances are now refused early only for the level of a more important class; the replay protects two.

--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -20,6 +20,9 @@
 	"github.com/goldcrestsail/goldcrestsail/shedding"
 )
 
+// protectedImportances covers payouts, orders and quotes.
+const protectedImportances = 2
+
 const statusOK = http.StatusOK
 
 // node is the node beside one target: the decision packages and the path of a
@@ -74,7 +77,7 @@
 	n := &node{
 		w: l.w, layer: l, target: t, rng: l.newRand(t), policies: map[string]*policy.Policy{},
 		routes: map[string]*routing.Table{}, budgets: map[string]*retry.Budget{},
-		chains: chain.NewTable(chain.Config{}), shed: shedding.NewTable(shedding.Config{}),
+		chains: chain.NewTable(chain.Config{}), shed: shedding.NewTable(shedding.Config{Protected: protectedImportances}),
 		served: map[admission.ID]*served{}, quarantine: quarantine.New(quarantine.Config{Reporter: uint64(t.index) + 1}.WithDefaults()),
 	}
 	for i := range l.w.head.Services {
--- a/shedding/config.go
+++ b/shedding/config.go
@@ -21,6 +21,10 @@
 type Config struct {
 	MaxAge     time.Duration
 	ProbeShare float64
+	// Protected is the number of importances, from the most important on, whose
+	// requests are refused early only for the level of a more important class.
+	// 0 protects none.
+	Protected  int
 	MaxTargets int
 	MaxPaths   int
 }
--- a/shedding/table.go
+++ b/shedding/table.go
@@ -146,6 +146,12 @@
 	if !rank.RefusedAt(level) {
 		return soFar
 	}
+	// A level is up to MaxAge old, and a service whose queue has emptied since
+	// serves less important requests. Within its own importance a protected
+	// request is left to the queue, which knows.
+	if rank.Importance() < t.config.Protected && rank.Importance() == level.Importance() {
+		return soFar
+	}
 	return Verdict{Refuse: !s.probe.pass(now, rank, level, t.config.ProbeShare, rng), Service: name, Level: level}
 }
 
