--- /dev/null
+++ b/claims/group_appender_test.go
@@ -0,0 +1,48 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/goldcrestsail/goldcrestsail/internal/standin/logstore"
+)
+
+// Guards against one request per append, against a record that is lost or
+// appended twice, and against an outage that is reported as success.
+func TestGroupAppenderSharesRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := logstore.New(logstore.Options{})
+		store.SetDelay(10 * time.Millisecond)
+		a := NewGroupAppender(store, "s", DefaultAppendInterval, time.Second)
+		defer a.Close()
+		const callers = 600
+		var wait sync.WaitGroup
+		for i := range callers {
+			wait.Go(func() {
+				if err := a.Append(context.Background(), fmt.Append(nil, i)); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wait.Wait()
+		b, err := store.Read(context.Background(), "s", 0, 2*callers, 0)
+		require.NoError(t, err)
+		seen := map[string]bool{}
+		for _, r := range b.Records {
+			seen[string(r.Data)] = true
+		}
+		require.Len(t, b.Records, callers)
+		require.Len(t, seen, callers)
+		// The first append starts with the callers that are there already.
+		require.LessOrEqual(t, store.Counters()["s"].Appends, uint64(callers/MaxGroupRecords+2))
+
+		store.SetOutage(true)
+		require.Error(t, a.Append(context.Background(), []byte("late")))
+	})
+}
