--- a/cmd/goldcrestsail/demo.go
+++ b/cmd/goldcrestsail/demo.go
@@ -21,6 +21,7 @@
 	sub.String(&options.Deployment, "", "deployment", "qureshi or takstolshuset.")
 	sub.Duration(&options.Duration, "", "duration", "Length of each of the two runs.")
 	sub.UInt64(&options.Seed, "", "seed", "Seed of the load.")
+	sub.String(&options.Record, "", "record", "Write the load as a trace for the command replay to this file (.jsonl).")
 	sub.Bool(&asJSON, "", "json", "Print one JSON object.")
 	return &command{sub: sub, run: func() int {
 		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -14,6 +14,9 @@
 	slowdownFactor = 4
 )
 
+// controlledName names the run with the overload control layer.
+const controlledName = "controlled"
+
 // system is what carries the load: nodes, or naive proxies.
 type system interface {
 	// entries returns the addresses that clients use.
@@ -36,7 +39,7 @@
 		into  **Result
 	}{
 		{"naive", startNaive, &report.Naive},
-		{"controlled", startControlled, &report.Controlled},
+		{controlledName, startControlled, &report.Controlled},
 	} {
 		ledger := target.NewLedger()
 		s, err := run.start(d, ledger, o.Seed)
@@ -79,6 +82,11 @@
 	if parent := context.Cause(ctx); parent != context.DeadlineExceeded {
 		return nil, parent
 	}
+	if o.Record != "" && name == controlledName {
+		if err := o.writeTrace(d, l, overload, end); err != nil {
+			return nil, err
+		}
+	}
 	return l.result(overload, end, o.Duration), nil
 }
 
--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -47,6 +47,9 @@
 	timeout time.Duration
 }
 
+// demoColdStart is the cold start time that the policies of the demo set.
+const demoColdStart = 500 * time.Millisecond
+
 // maxRetryAllowance is the allowance that the policies of the demo set.
 const maxRetryAllowance = 2
 
@@ -122,7 +125,7 @@
 func (d *deployment) record(s *service, changeID string) *configlog.Record {
 	body := &configlog.PolicyBody{
 		Slots: new(s.slots), Connections: new(s.connections), RetryAllowance: new(maxRetryAllowance),
-		ColdStartMS: new(int64(500)),
+		ColdStartMS: new(demoColdStart.Milliseconds()),
 	}
 	for _, c := range s.classes {
 		body.Classes = append(body.Classes, configlog.ClassBody{
@@ -135,3 +138,8 @@
 		Op: configlog.Put, Author: "demo", Policy: body,
 	}
 }
+
+// policy returns the classes of a service as a policy.
+func (d *deployment) policy(s *service) *policy.Policy {
+	return &policy.Policy{Name: policy.ServiceName{Customer: d.customer, Service: s.name}, Classes: s.classes}
+}
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -47,6 +47,7 @@
 	windows    map[int]int
 	requests   []clientRequest
 	notRun     []claimedNotRun
+	recorded   []recordedRequest
 	incomplete int
 }
 
@@ -111,6 +112,9 @@
 		key = uuid.Must(uuid.NewV7()).String()
 	}
 	result := clientRequest{class: c.name, arrived: arrived.Sub(l.start)}
+	l.mu.Lock()
+	l.recorded = append(l.recorded, recordedRequest{result.arrived, c, key})
+	l.mu.Unlock()
 	for try := range clientTries {
 		if try > 0 {
 			time.Sleep(clientBackoff)
--- a/internal/demo/options.go
+++ b/internal/demo/options.go
@@ -13,6 +13,9 @@
 	// Duration is the length of each of the two runs.
 	Duration time.Duration
 	Seed     uint64
+	// Record is the file that the requests and faults of the controlled run are
+	// written to as a trace, with its outcomes beside it. Empty writes nothing.
+	Record string
 	// Progress receives one line per second; nil shows nothing.
 	Progress func(string)
 }
