--- a/node/config.go
+++ b/node/config.go
@@ -52,6 +52,11 @@
 	// announcementLifetime is how long a target counts as present after its
 	// last announcement; announcements come every 500 ms to 1 s.
 	announcementLifetime = 5 * time.Second
+	// protectedImportances is the number of importances, from the most important
+	// on, that are never refused early on the level of a class of their own
+	// importance: a stale level would refuse payouts, orders and quotes while
+	// less important requests are served.
+	protectedImportances = 2
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
 	// maxConcurrentStreams bounds the calls in flight on a peer connection. It
--- a/node/execute.go
+++ b/node/execute.go
@@ -266,11 +266,8 @@
 
 // load returns the load of the target as this node sees it.
 func (n *Node) load() *peerrpc.Load {
-	stats, limits := n.gate.stats()
 	_, state := n.target.current()
-	return &peerrpc.Load{
-		InFlight: uint32(stats.Running), Waiting: uint32(stats.Waiting), Limit: uint32(stats.Limit),
-		AdmissionLevel: uint32(stats.Level), Draining: n.draining.Load() || state == Draining,
-		ServiceTimeMicros: limits.ServiceTime.Microseconds(),
-	}
+	load := n.gate.load()
+	load.Draining = n.draining.Load() || state == Draining
+	return load
 }
--- a/node/forward.go
+++ b/node/forward.go
@@ -85,7 +85,7 @@
 	call := f.callRequest(id, allowance, start)
 	response, failure := n.invoke(ctx, id, address, call)
 	now := time.Now()
-	n.router.done(now, q.name, id, resultOf(now.Sub(start), response, failure))
+	n.router.done(now, q.name, id, resultOf(q.importance, now.Sub(start), response, failure))
 	if response != nil {
 		n.observeLevels(q.name.String(), id, response, now)
 	}
@@ -98,7 +98,7 @@
 
 func (f *forwarding) pick(now time.Time) (routing.TargetID, string, *kind.Error) {
 	n, q := f.node, f.request
-	in := routing.PickInput{Exclude: f.tried, MayProbe: q.class.Retryable, Pinned: q.pinned}
+	in := routing.PickInput{Exclude: f.tried, MayProbe: q.class.Retryable, Pinned: q.pinned, Importance: q.importance}
 	switch n.quarantine.state(q.fingerprint) {
 	case quarantine.Quarantined:
 		return "", "", kind.New(kind.Quarantined, "the request has crashed targets")
--- a/node/gate.go
+++ b/node/gate.go
@@ -8,6 +8,7 @@
 	"github.com/goldcrestsail/goldcrestsail/admission"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/limit"
+	"github.com/goldcrestsail/goldcrestsail/peerrpc"
 	"github.com/goldcrestsail/goldcrestsail/policy"
 )
 
@@ -24,15 +25,20 @@
 	limiter *limit.Limiter
 	// waiting holds the channel of each request without a decision.
 	waiting map[admission.ID]chan admission.Decision
-	nextID  admission.ID
-	timer   *time.Timer
-	policy  *policy.Policy
+	// importance holds that of each request that waits or runs, and
+	// byImportance how many there are of each.
+	importance   map[admission.ID]int
+	byImportance [policy.MaxImportance + 1]uint32
+	nextID       admission.ID
+	timer        *time.Timer
+	policy       *policy.Policy
 }
 
 func newGate(now time.Time) *gate {
 	g := &gate{
-		limiter: limit.New(limit.Config{Slots: 1, MinLimit: 1}, now),
-		waiting: map[admission.ID]chan admission.Decision{},
+		limiter:    limit.New(limit.Config{Slots: 1, MinLimit: 1}, now),
+		waiting:    map[admission.ID]chan admission.Decision{},
+		importance: map[admission.ID]int{},
 	}
 	g.queue = admission.NewQueue(admission.Config{}, 1, now)
 	g.timer = time.AfterFunc(time.Hour, g.tick)
@@ -77,6 +83,8 @@
 	g.nextID++
 	id := g.nextID
 	g.waiting[id] = decided
+	g.importance[id] = rank.Importance()
+	g.byImportance[rank.Importance()]++
 	g.settleLocked(now, g.queue.Offer(now, admission.Request{
 		ID: id, Rank: rank, Deadline: deadline, ServiceTime: min(g.limiter.ServiceTime(), deadline.Sub(now)/maxServiceShare),
 	}))
@@ -97,6 +105,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.waiting, id)
+	g.forgetLocked(id)
 	g.settleLocked(now, g.queue.Cancel(now, id))
 }
 
@@ -110,10 +119,19 @@
 		sample.InFlight = g.queue.Stats(now).Running
 		g.limiter.Observe(now, *sample)
 	}
+	g.forgetLocked(id)
 	g.settleLocked(now, g.queue.Release(now, id))
 	g.settleLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
 }
 
+// forgetLocked takes a request that neither waits nor runs out of the counts.
+func (g *gate) forgetLocked(id admission.ID) {
+	if importance, ok := g.importance[id]; ok {
+		g.byImportance[importance]--
+		delete(g.importance, id)
+	}
+}
+
 // stats returns the state of the queue and of the limiter.
 func (g *gate) stats() (admission.Stats, limit.State) {
 	now := time.Now()
@@ -122,6 +140,23 @@
 	return g.queue.Stats(now), g.limiter.State()
 }
 
+// load returns the load that is reported to callers.
+func (g *gate) load() *peerrpc.Load {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	stats := g.queue.Stats(now)
+	reported := len(g.byImportance)
+	for reported > 0 && g.byImportance[reported-1] == 0 {
+		reported--
+	}
+	return &peerrpc.Load{
+		InFlight: uint32(stats.Running), Waiting: uint32(stats.Waiting), Limit: uint32(stats.Limit),
+		AdmissionLevel: uint32(stats.Level), ServiceTimeMicros: g.limiter.ServiceTime().Microseconds(),
+		ByImportance: append([]uint32(nil), g.byImportance[:reported]...),
+	}
+}
+
 // refuses reports whether a request of this rank would be refused now.
 func (g *gate) refuses(rank admission.Rank) bool {
 	g.mu.Lock()
@@ -147,6 +182,9 @@
 		if decided := g.waiting[d.ID]; decided != nil {
 			decided <- d
 			delete(g.waiting, d.ID)
+			if !d.Admitted() {
+				g.forgetLocked(d.ID)
+			}
 		}
 	}
 	if next, ok := g.queue.NextExpiry(); ok {
--- a/node/node.go
+++ b/node/node.go
@@ -81,7 +81,7 @@
 	n.log = config.Logger.With("node", n.id.String())
 	n.router = newRouter(n.id.String(), config.FailureDomain, rand.New(rand.NewPCG(seed, 1)))
 	n.shed.rng = rand.New(rand.NewPCG(seed, 2))
-	n.shed.table = shedding.NewTable(shedding.Config{})
+	n.shed.table = shedding.NewTable(shedding.Config{Protected: protectedImportances})
 	n.guards = newGuards(n)
 	n.quarantine = newQuarantineTable(n)
 	n.metrics = newNodeMetrics(n)
--- a/node/router.go
+++ b/node/router.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return "", "", kind.Of(err)
 	}
-	table.Start(now, id)
+	table.StartClass(now, id, in.Importance)
 	return id, r.endpoints[id].address, nil
 }
 
@@ -127,18 +127,22 @@
 }
 
 // resultOf returns what routing learns from a response or error.
-func resultOf(latency time.Duration, response *peerrpc.CallResponse, failure *kind.Error) routing.Result {
-	result := routing.Result{Latency: latency}
+func resultOf(importance int, latency time.Duration, response *peerrpc.CallResponse, failure *kind.Error) routing.Result {
+	result := routing.Result{Importance: importance, Latency: latency}
 	if failure != nil {
 		result.Kind = failure.Kind
 	}
 	if response == nil {
 		return result
 	}
-	result.Status = int(response.Status)
+	result.Responded, result.Status = true, int(response.Status)
 	if load := response.Load; load != nil {
 		result.Load = &routing.Load{
 			InFlight: int(load.InFlight), Waiting: int(load.Waiting), Limit: int(load.Limit), Draining: load.Draining,
+			ServiceTime: time.Duration(load.ServiceTimeMicros) * time.Microsecond,
+		}
+		for _, count := range load.ByImportance {
+			result.Load.ByImportance = append(result.Load.ByImportance, int(count))
 		}
 	}
 	return result
