--- a/internal/processtest/cluster_test.go
+++ b/internal/processtest/cluster_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/goldcrestsail/goldcrestsail/internal/standin/link"
 	"github.com/goldcrestsail/goldcrestsail/internal/standin/logstore"
@@ -29,6 +30,15 @@
 // slots is how many requests each target serves at once.
 const slots = 8
 
+// maxProcesses bounds the processes of all tests that run at once.
+const maxProcesses = 60
+
+// spareProcesses is how many processes a cluster starts beyond its first ones
+// at most: replacements and commands.
+const spareProcesses = 3
+
+var processBudget = semaphore.NewWeighted(maxProcesses)
+
 // cluster is a set of processes with a ledger in the test's own process.
 type cluster struct {
 	t      *testing.T
@@ -61,6 +71,9 @@
 // newCluster starts a log service, and members of the given services.
 func newCluster(t *testing.T, services ...string) *cluster {
 	t.Helper()
+	processes := int64(1 + 2*len(services) + spareProcesses)
+	require.NoError(t, processBudget.Acquire(t.Context(), processes))
+	t.Cleanup(func() { processBudget.Release(processes) })
 	c := &cluster{t: t, timeoutMS: 4000, queueTimeoutMS: 1000, dir: t.TempDir(), ledger: newLedger(), client: &http.Client{
 		Timeout: 10 * time.Second,
 		// A new connection per request: the client never repeats a request by
