End callers' connections with the responses of a draining node

A caller that kept its connection to a draining node could send a request on it at the moment at which the listener closed, and lose it. Every response during a drain now ends its connection.

--- a/node/entry.go
+++ b/node/entry.go
@@ -65,6 +65,11 @@
 		response, failure = run(r.Context(), q)
 	}
 	n.metrics.answered(q, failure, time.Since(start))
+	if n.draining.Load() {
+		// A caller that keeps its connection would lose the request that it
+		// sends while the listener closes.
+		w.Header().Set("Connection", "close")
+	}
 	if failure != nil {
 		n.log.Debug("request refused", "request_id", q.id, "service", q.name.String(), "kind", failure.Kind, "run_state", failure.Run, "detail", failure.Detail)
 		writeError(w, q.id, failure)
