--- a/internal/processtest/operator_test.go
+++ b/internal/processtest/operator_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -166,5 +168,14 @@
 		require.True(t, strings.Contains(out, fmt.Sprintf("revision %d ", base)), out)
 		c.waitAgreement(t, before.Offset+1)
 	})
+	t.Run("log service back without its records", func(t *testing.T) {
+		before := c.waitAgreement(t, 0)
+		c.log.kill()
+		require.NoError(t, os.Remove(filepath.Join(c.dir, "records")))
+		c.startLog(t)
+		c.startNode(t, "front")
+		waitFor(t, "a node to read the empty stream", func() bool { return c.counters(t, configlog.Stream).Reads > 0 })
+		require.Equal(t, before, c.waitAgreement(t, before.Offset))
+	})
 	require.Empty(t, reverted())
 }
