--- a/quarantine/entry.go
+++ b/quarantine/entry.go
@@ -14,6 +14,9 @@
 	// MaxFingerprints bounds the fingerprints of one entry, so that its
 	// encoding fits into a gossip broadcast of 512 bytes.
 	MaxFingerprints = 56
+	// BroadcastKind marks the gossip broadcasts that carry entries: the ID is
+	// Entry.ID, the payload Entry.Encode and the expiry that of the entry.
+	BroadcastKind uint32 = 1
 	// MaxLife bounds how long after its time an entry may expire.
 	MaxLife = 24 * time.Hour
 )
