Make the tests of drain and of bounded retries see their faults

Cause: trials on a scratch copy showed that TestDrainCutsOffNothing passed when a drain closed at once, because a second attempt hid the cut, and that TestRetriesOfAChainAreBounded passed with a copied allowance, because the stand-in target's own failure ends a hop's attempts.

Conclusion: both tests are stricter.

--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -159,26 +159,44 @@
 	require.Empty(t, canceled)
 }
 
-// Guards against retries that multiply from hop to hop: the target below fails
-// always, and the allowance of the chain bounds all attempts together.
+// Guards against retries that multiply from hop to hop: each hop breaks its
+// connection when the hop below it fails, so that the hop above tries again,
+// and the allowance of the chain bounds all attempts together.
 func TestRetriesOfAChainAreBounded(t *testing.T) {
+	const allowance = 2
 	f := newFixture(t)
-	f.publish("front", nil)
-	f.publish("back", nil)
 	var attempts atomic.Int32
-	failing := func(w http.ResponseWriter, r *http.Request) {
-		attempts.Add(1)
-		hijack(w, "")
-	}
-	entry, _ := f.add(target.Config{Service: "front", Calls: []target.SubCall{{Service: "back.acme", Path: "/x"}}})
-	f.add(target.Config{Service: "front", Calls: []target.SubCall{{Service: "back.acme", Path: "/x"}}})
-	for range 3 {
-		f.addHandler("back", failing, nil)
+	chainOf := []string{"front", "middle", "back"}
+	for i, service := range chainOf {
+		f.publish(service, func(p *configlog.PolicyBody) { p.RetryAllowance = new(allowance) })
+		for range 3 {
+			client := &http.Client{}
+			handler := chainhttp.Middleware(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				attempts.Add(1)
+				if i+1 < len(chainOf) {
+					below, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+chainOf[i+1]+".acme/x", nil)
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					if response, err := client.Do(below); err == nil {
+						response.Body.Close()
+					}
+				}
+				hijack(w, "")
+			}))
+			n := f.addHandler(service, handler.ServeHTTP, nil)
+			transport := &http.Transport{}
+			client.Transport = &chainhttp.Transport{Node: n.Address("target-side"), Base: transport}
+			t.Cleanup(transport.CloseIdleConnections)
+		}
 	}
 	f.ready()
-	r := f.call(entry, http.MethodGet, "front", "/x")
+	r := f.call(f.nodes[0], http.MethodGet, "front", "/x")
 	require.NotEqual(t, http.StatusOK, r.status)
-	require.LessOrEqual(t, attempts.Load(), int32(1+2), "1 first attempt and an allowance of 2")
+	// Each retry runs the chain below it once more, so the attempts of all hops
+	// together are at most the hops times one more than the allowance.
+	require.LessOrEqual(t, attempts.Load(), int32(len(chainOf)*(1+allowance)))
 }
 
 // Guards against a request that takes down one target after the other while
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -95,7 +95,8 @@
 // Guards against a departure that cuts off a request or answers it wrongly.
 func TestDrainCutsOffNothing(t *testing.T) {
 	f := newFixture(t)
-	f.publish("front", nil)
+	// A request that was cut off must not be hidden by a second attempt.
+	f.publish("front", func(p *configlog.PolicyBody) { p.Classes[1].Retryable = false })
 	leaving, leavingTarget := f.add(target.Config{Service: "front", ServiceTime: 100 * time.Millisecond})
 	staying, _ := f.add(target.Config{Service: "front", ServiceTime: 100 * time.Millisecond})
 	f.ready()
