Start the drain of the test while a request is in progress

Cause: with the wait of the drain taken out the test still passed, because no request was in progress at the leaving node.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -118,6 +118,7 @@
 			}
 		})
 	}
+	require.Eventually(t, func() bool { return leaving.InProgress() > 0 }, eventually, time.Millisecond)
 	leaving.StartDrain()
 	<-leaving.Done()
 	leavingTarget.Stop()
