Keep requests in progress at the target while it is killed, cut off or frozen

A target that takes 5 ms per request was rarely busy at the moment of a failure: a node that reports not-run for requests that were cut off passed the test (trial). Reads and non-idempotent requests are now held at the target during the failure, and no non-idempotent request may start twice.

--- a/internal/processtest/drain_test.go
+++ b/internal/processtest/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -31,15 +32,15 @@
 	h.release = func() { releaseReads(); releasePays() }
 	t.Cleanup(h.release)
 	entries := c.entries()
-	for _, kind := range []struct{ method, path string }{{http.MethodGet, reads}, {http.MethodPost, pays}} {
+	for _, kind := range []struct{ method, prefix string }{{http.MethodGet, reads}, {http.MethodPost, pays}} {
 		waitFor(t, "work in progress at "+m.target.name, func() bool {
-			if c.ledger.count(func(s start) bool { return s.target == m.targetAt && s.path == kind.path }) > 0 {
+			if c.ledger.count(func(s start) bool { return s.target == m.targetAt && strings.HasPrefix(s.path, kind.prefix) }) > 0 {
 				return true
 			}
-			id, refused := newID(), make(chan answer, 1)
+			id, path, refused := newID(), kind.prefix+"/"+newID(), make(chan answer, 1)
 			entry := entries[h.count%len(entries)]
 			go func() {
-				a := c.send(entry, kind.method, kind.path, id, "opaque-"+newID())
+				a := c.send(entry, kind.method, path, id, "opaque-"+newID())
 				refused <- a
 				h.answers <- a
 			}()
@@ -48,7 +49,7 @@
 			})
 			if len(refused) > 0 {
 				a := <-refused
-				t.Logf("%s %s refused: %s %s", kind.method, kind.path, a.kind, a.detail)
+				t.Logf("%s %s refused: %s %s", kind.method, path, a.kind, a.detail)
 				<-h.answers
 				return false
 			}
--- a/internal/processtest/failures_test.go
+++ b/internal/processtest/failures_test.go
@@ -9,8 +9,9 @@
 	"github.com/goldcrestsail/goldcrestsail/internal/standin/logstore"
 )
 
-// freezeTime is longer than the detection of a silent connection (1 to 2 s).
-const freezeTime = 3 * time.Second
+// freezeTime is longer than the detection of a silent connection (1 to 2 s) and
+// the deadline of the requests (4 s).
+const freezeTime = 5 * time.Second
 
 // failure is one fault in a running cluster.
 type failure struct {
@@ -54,7 +55,11 @@
 		failure{"target", func(t *testing.T, c *cluster, l *load) {
 			for _, service := range []string{"front", "back"} {
 				m := c.of(service)[0]
-				m.killTarget()
+				if service == "front" {
+					l.during(t, m, m.killTarget)
+				} else {
+					m.killTarget()
+				}
 				l.waitGoodput(t)
 				c.startTarget(c.t, m)
 				c.waitServing(t)
@@ -63,9 +68,16 @@
 		failure{"node", func(t *testing.T, c *cluster, l *load) {
 			for _, service := range []string{"front", "back"} {
 				m := c.of(service)[1]
-				c.remove(m)
-				m.node.kill()
-				m.killTarget()
+				kill := func() {
+					c.remove(m)
+					m.node.kill()
+					m.killTarget()
+				}
+				if service == "front" {
+					l.during(t, m, kill)
+				} else {
+					kill()
+				}
 				l.waitGoodput(t)
 				c.startTarget(c.t, c.startNode(c.t, service))
 				c.waitServing(t)
@@ -84,12 +96,14 @@
 func TestFrozenProcesses(t *testing.T) {
 	inTurn(t,
 		failure{"target", func(t *testing.T, c *cluster, l *load) {
-			freeze(c.of("front")[0].target)
+			m := c.of("front")[0]
+			l.during(t, m, func() { freeze(m.target) })
 			freeze(c.of("back")[0].target)
 			c.waitServing(t)
 		}},
 		failure{"node", func(t *testing.T, c *cluster, l *load) {
-			freeze(c.of("front")[0].node)
+			m := c.of("front")[0]
+			l.during(t, m, func() { freeze(m.node) })
 			freeze(c.of("back")[0].node)
 			c.waitServing(t)
 		}},
@@ -112,13 +126,13 @@
 			each(c, func(m *member) { m.logLink.Cut() })
 		}},
 		failure{"cut node to target", func(t *testing.T, c *cluster, l *load) {
-			each(c, func(m *member) { m.targetLink.Cut() })
+			l.during(t, c.of("front")[0], func() { each(c, func(m *member) { m.targetLink.Cut() }) })
 		}},
 		failure{"silent node to log", func(t *testing.T, c *cluster, l *load) {
 			each(c, func(m *member) { m.logLink.Silence() })
 		}},
 		failure{"silent node to target", func(t *testing.T, c *cluster, l *load) {
-			c.of("front")[0].targetLink.Silence()
+			l.during(t, c.of("front")[0], c.of("front")[0].targetLink.Silence)
 			c.of("back")[0].targetLink.Silence()
 			c.waitServing(t)
 		}},
--- a/internal/processtest/ledger_test.go
+++ b/internal/processtest/ledger_test.go
@@ -75,6 +75,20 @@
 	return n
 }
 
+// executions returns the number of starts at front of each path with a prefix.
+// Every non-idempotent request has a path of its own.
+func (l *ledger) executions(prefix string) map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	executions := map[string]int{}
+	for _, s := range l.starts {
+		if s.service == "front" && strings.HasPrefix(s.path, prefix) {
+			executions[s.path]++
+		}
+	}
+	return executions
+}
+
 // retries returns how often parts of each request were started again, summed
 // over its chain. A sub-call of a repeated request is a first attempt.
 func (l *ledger) retries() map[string]int {
--- a/internal/processtest/load_test.go
+++ b/internal/processtest/load_test.go
@@ -216,6 +216,9 @@
 	for id, n := range l.c.ledger.retries() {
 		require.LessOrEqual(t, n, allowance, "retries of request %s", id)
 	}
+	for path, n := range l.c.ledger.executions("/pay/") {
+		require.LessOrEqual(t, n, 1, "starts of %s", path)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	require.Empty(t, l.wrong)
@@ -224,6 +227,18 @@
 	}
 }
 
+// during runs a failure while requests are in progress at the target of m, and
+// records what their callers are told.
+func (l *load) during(t *testing.T, m *member, fail func()) {
+	t.Helper()
+	work := l.c.holdWork(t, m)
+	fail()
+	work.release()
+	for range work.count {
+		l.record(<-work.answers)
+	}
+}
+
 func (l *load) notRun() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
