--- a/node/forward.go
+++ b/node/forward.go
@@ -73,6 +73,9 @@
 // attempt sends the request once.
 func (f *forwarding) attempt(ctx context.Context, allowance int) (*peerrpc.CallResponse, *kind.Error) {
 	n, q := f.node, f.request
+	if ctx.Err() != nil {
+		return nil, kind.New(kind.DeadlineExpired, "the deadline has passed before the request was sent").WithRun(kind.NotRun)
+	}
 	start := time.Now()
 	id, address, failure := f.pick(start)
 	if failure != nil {
@@ -82,7 +85,7 @@
 	call := f.callRequest(id, allowance, start)
 	response, failure := n.invoke(ctx, id, address, call)
 	now := time.Now()
-	n.router.done(now, q.name, id, resultOf(now.Sub(start), response, failure))
+	n.router.done(now, q.name, id, resultOf(q.importance, now.Sub(start), response, failure))
 	if response != nil {
 		n.observeLevels(q.name.String(), id, response, now)
 	}
@@ -95,7 +98,7 @@
 
 func (f *forwarding) pick(now time.Time) (routing.TargetID, string, *kind.Error) {
 	n, q := f.node, f.request
-	in := routing.PickInput{Exclude: f.tried, MayProbe: q.class.Retryable, Pinned: q.pinned}
+	in := routing.PickInput{Exclude: f.tried, MayProbe: q.class.Retryable, Pinned: q.pinned, Importance: q.importance}
 	switch n.quarantine.state(q.fingerprint) {
 	case quarantine.Quarantined:
 		return "", "", kind.New(kind.Quarantined, "the request has crashed targets")
