Bound what an entry node holds for callers

Cause: requests and bodies in progress at an entry node had no bound, so memory grew with what callers send.

A 204 or 304 has no Content-Length any more.

--- a/node/entry.go
+++ b/node/entry.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/goldcrestsail/goldcrestsail/admission"
 	"github.com/goldcrestsail/goldcrestsail/chain"
 	"github.com/goldcrestsail/goldcrestsail/chainhttp"
@@ -55,8 +57,10 @@
 func (n *Node) serve(w http.ResponseWriter, r *http.Request, run func(context.Context, *request) (*peerrpc.CallResponse, *kind.Error)) {
 	defer n.work.begin()()
 	start := time.Now()
-	q, failure := n.parseRequest(r, start)
+	q := &request{id: uuid.NewString()}
 	var response *peerrpc.CallResponse
+	failure := n.parseRequest(q, r, start)
+	defer n.intake.release(q)
 	if failure == nil {
 		failure = n.pinIssuedKey(q)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -40,6 +40,7 @@
 	guards        *guards
 	budgets       *budgets
 	shed          sheddingTable
+	intake        intake
 	quarantine    *quarantineTable
 
 	// applied is the policy that gate and guard were configured with.
--- a/node/request.go
+++ b/node/request.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/google/uuid"
 
 	"github.com/goldcrestsail/goldcrestsail/chainhttp"
 	"github.com/goldcrestsail/goldcrestsail/kind"
@@ -18,15 +17,19 @@
 
 // request is a checked request on its way through an entry node.
 type request struct {
-	id          string
-	name        policy.ServiceName
-	policy      *policy.Policy
-	class       *policy.Class
-	importance  int
-	method      string
-	path        string
-	headers     []*peerrpc.Header
-	body        []byte
+	id         string
+	name       policy.ServiceName
+	policy     *policy.Policy
+	class      *policy.Class
+	importance int
+	method     string
+	path       string
+	headers    []*peerrpc.Header
+	body       []byte
+	// entered reports that the intake counts the request.
+	entered bool
+	// held is the number of bytes that the intake has reserved for the body.
+	held        int64
 	key         string
 	fingerprint uint64
 	deadline    time.Time
@@ -60,38 +63,42 @@
 	return &kind.Error{Kind: kind.Malformed, Run: kind.NotRun, Fields: []kind.FieldError{{Field: field, Value: value, Allowed: allowed}}}
 }
 
-// parseRequest checks the parts of r that every caller sends. It reads the
-// body up to the policy's bound.
-func (n *Node) parseRequest(r *http.Request, now time.Time) (*request, *kind.Error) {
-	q := &request{id: uuid.NewString(), method: r.Method, path: r.URL.RequestURI()}
+// parseRequest checks the parts of r that every caller sends and fills q with
+// them. It reads the body up to the policy's bound.
+func (n *Node) parseRequest(q *request, r *http.Request, now time.Time) *kind.Error {
+	q.method, q.path = r.Method, r.URL.RequestURI()
 	name, err := policy.ParseServiceName(r.Host)
 	if err != nil {
-		return q, kind.Of(err)
+		return kind.Of(err)
 	}
 	q.name = name
 	if q.policy = n.policyOf(name); q.policy == nil {
-		return q, kind.Newf(kind.UnknownService, "no policy for %s", name)
+		return kind.Newf(kind.UnknownService, "no policy for %s", name)
 	}
 	if !strings.HasPrefix(q.path, "/") {
-		return q, malformed("path", q.path, "an absolute path")
+		return malformed("path", q.path, "an absolute path")
 	}
 	if q.class = q.policy.Classify(r.Method, r.URL.Path); q.class == nil {
-		return q, malformed("path", r.Method+" "+r.URL.Path, "a request that a class of the policy matches")
+		return malformed("path", r.Method+" "+r.URL.Path, "a request that a class of the policy matches")
 	}
 	q.importance = q.class.Importance
+	if failure := n.intake.enter(q.importance); failure != nil {
+		return failure
+	}
+	q.entered = true
 	if q.deadline, err = parseDeadline(r, q.class, now); err != nil {
-		return q, kind.Of(err)
+		return kind.Of(err)
 	}
 	q.key = r.Header.Get(chainhttp.HeaderKey)
 	if q.class.NonIdempotent && q.key == "" {
-		return q, kind.Newf(kind.KeyRequired, "class %s needs an %s header", q.class.Name, chainhttp.HeaderKey)
+		return kind.Newf(kind.KeyRequired, "class %s needs an %s header", q.class.Name, chainhttp.HeaderKey)
 	}
-	if failure := q.readBody(r); failure != nil {
-		return q, failure
+	if failure := n.readBody(q, r); failure != nil {
+		return failure
 	}
 	q.headers = copyHeaders(r.Header, hopHeaders)
 	q.fingerprint = q.hash()
-	return q, nil
+	return nil
 }
 
 func parseDeadline(r *http.Request, class *policy.Class, now time.Time) (time.Time, error) {
@@ -109,11 +116,19 @@
 	return now.Add(timeout), nil
 }
 
-func (q *request) readBody(r *http.Request) *kind.Error {
+func (n *Node) readBody(q *request, r *http.Request) *kind.Error {
 	limit := q.policy.MaxRequestBytes
 	if r.ContentLength > limit {
 		return kind.Newf(kind.TooLarge, "body of %d bytes, want at most %d", r.ContentLength, limit)
 	}
+	held := r.ContentLength
+	if held < 0 {
+		held = limit
+	}
+	if failure := n.intake.reserve(held); failure != nil {
+		return failure
+	}
+	q.held = held
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
 		return malformed("body", err.Error(), "a complete body")
--- a/node/write_response.go
+++ b/node/write_response.go
@@ -39,6 +39,11 @@
 	if c.Replayed {
 		h.Set(chainhttp.HeaderReplayed, "true")
 	}
+	if c.Status == http.StatusNoContent || c.Status == http.StatusNotModified {
+		// These have no body, and no Content-Length either (RFC 9110, 8.6).
+		w.WriteHeader(int(c.Status))
+		return
+	}
 	h.Set("Content-Length", strconv.Itoa(len(c.Body)))
 	w.WriteHeader(int(c.Status))
 	w.Write(c.Body)
