--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// quarantineBroadcast is the kind of the gossip broadcasts that carry
-	// quarantine entries.
-	quarantineBroadcast = 1
 	// crashReportDelay is how long the response to a request that crashed a
 	// target is held back. A resend then finds the suspicion known everywhere.
 	crashReportDelay = time.Second
@@ -64,7 +61,7 @@
 
 // received takes in an entry of another node.
 func (q *quarantineTable) received(b membership.Broadcast) {
-	if b.Kind != quarantineBroadcast {
+	if b.Kind != quarantine.BroadcastKind {
 		return
 	}
 	entry, err := quarantine.Decode(b.Payload)
@@ -151,7 +148,7 @@
 	for _, e := range effects {
 		if p, ok := e.(quarantine.Publish); ok {
 			q.node.gossip.Broadcast(membership.Broadcast{
-				Kind: quarantineBroadcast, ID: p.Entry.ID(), Payload: p.Entry.Encode(), Expiry: p.Entry.Expiry,
+				Kind: quarantine.BroadcastKind, ID: p.Entry.ID(), Payload: p.Entry.Encode(), Expiry: p.Entry.Expiry,
 			})
 		}
 	}
