Space the appends of claims by the number of claiming nodes

Cause: each node batches its own claims; at the fixed interval of 25 ms more than seven claiming nodes exceed 300 appends a second together (docs/capacity-claims.md).

Seen: go test ./claims ./node passes; the interval is claiming nodes / 300 s, from 25 ms to 500 ms, which holds the share up to 150 nodes.

Conclusion: kept; beyond 150 claiming nodes the calls have to go to fewer nodes per service.

--- a/claims/group_appender.go
+++ b/claims/group_appender.go
@@ -45,6 +45,13 @@
 	return a
 }
 
+// SetInterval changes the least time between the starts of two appends.
+func (a *GroupAppender) SetInterval(interval time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.interval = interval
+}
+
 // Append implements Appender.
 func (a *GroupAppender) Append(ctx context.Context, data []byte) error {
 	p := pendingAppend{data: data, done: make(chan error, 1)}
--- a/claims/group_appender_test.go
+++ b/claims/group_appender_test.go
@@ -46,3 +46,19 @@
 		require.Error(t, a.Append(context.Background(), []byte("late")))
 	})
 }
+
+// Guards against nodes that exceed the append rate together: a longer interval
+// must hold from the next append on.
+func TestSetIntervalSpacesAppends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := logstore.New(logstore.Options{})
+		a := NewGroupAppender(store, "s", DefaultAppendInterval, time.Second)
+		defer a.Close()
+		a.SetInterval(400 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		for a.Append(ctx, []byte("x")) == nil {
+		}
+		require.EqualValues(t, 5, store.Counters()["s"].Appends)
+	})
+}
--- a/claims/guard.go
+++ b/claims/guard.go
@@ -244,6 +244,14 @@
 	return g.machine.Ready()
 }
 
+// SetAppendInterval changes the interval of the guard's own GroupAppender, for
+// instance when the number of nodes that share the append rate changes.
+func (g *Guard) SetAppendInterval(interval time.Duration) {
+	if g.group != nil {
+		g.group.SetInterval(interval)
+	}
+}
+
 // SetWindow changes the window when the policy changes. A longer window is
 // honoured for a key only when the claims since the key's time are known. The
 // error has kind settings-invalid.
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -8,7 +8,9 @@
 
 	"github.com/goldcrestsail/goldcrestsail/configlog"
 	"github.com/goldcrestsail/goldcrestsail/configsync"
+	"github.com/goldcrestsail/goldcrestsail/membership"
 	"github.com/goldcrestsail/goldcrestsail/peerrpc"
+	"github.com/goldcrestsail/goldcrestsail/policy"
 )
 
 const (
@@ -89,7 +91,9 @@
 		case <-ctx.Done():
 			return
 		}
-		c.runner.SetFollowing(c.following())
+		members := c.node.gossip.Members()
+		c.runner.SetFollowing(rendezvousRank(members, c.node.id, c.node.config.FailureDomain) < followersPerDomain)
+		c.node.guards.share(c.claimingNodes(members))
 		offset, peer := c.node.gossip.HighestConfigOffset()
 		if offset > c.state().Offset() && peer.IsValid() {
 			c.pull(ctx, peer.String())
@@ -110,10 +114,20 @@
 	}
 }
 
-// following reports whether this node is among the followers of its failure
-// domain.
-func (c *configuration) following() bool {
-	return rendezvousRank(c.node.gossip.Members(), c.node.id, c.node.config.FailureDomain) < followersPerDomain
+// claimingNodes counts the nodes whose service has a non-idempotent class.
+func (c *configuration) claimingNodes(members []membership.Member) int {
+	claiming := map[policy.ServiceName]bool{}
+	for _, p := range c.state().Policies() {
+		claiming[p.Name] = hasNonIdempotent(p)
+	}
+	count := 0
+	for i := range members {
+		m := &members[i]
+		if m.State.Present() && claiming[policy.ServiceName{Customer: m.Meta.Customer, Service: m.Meta.Service}] {
+			count++
+		}
+	}
+	return count
 }
 
 // rank returns the node's place among all that may write snapshots.
--- a/node/guards.go
+++ b/node/guards.go
@@ -15,6 +15,16 @@
 	"github.com/goldcrestsail/goldcrestsail/routing"
 )
 
+const (
+	// maxClaimAppends is the share of the log service's several hundred appends
+	// a second that all nodes together use for claims.
+	maxClaimAppends = 300
+	// maxAppendInterval keeps a claim within the time that Begin waits for the
+	// log. With more than 150 claiming nodes the appends can exceed their share
+	// when all of them claim without a pause.
+	maxAppendInterval = 500 * time.Millisecond
+)
+
 // guards runs the at-most-once guard of the service whose target is beside the
 // node. It is safe for concurrent use.
 type guards struct {
@@ -67,6 +77,18 @@
 	g.done.Go(func() { guard.Run(g.ctx) })
 }
 
+// share sets the append interval by the number of nodes that may claim, so that
+// all together stay within the append rate.
+func (g *guards) share(claimingNodes int) {
+	interval := time.Duration(claimingNodes) * time.Second / maxClaimAppends
+	interval = min(max(interval, claims.DefaultAppendInterval), maxAppendInterval)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, guard := range g.of {
+		guard.SetAppendInterval(interval)
+	}
+}
+
 // close ends all guards and waits for them.
 func (g *guards) close() {
 	g.stop()
