--- /dev/null
+++ b/configsync/load_test.go
@@ -0,0 +1,84 @@
+package configsync
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/goldcrestsail/goldcrestsail/internal/standin/logstore"
+	"github.com/goldcrestsail/goldcrestsail/logservice"
+)
+
+// countingClient counts the reads and appends that reach the log service.
+type countingClient struct {
+	*logstore.Store
+	reads, appends atomic.Int64
+}
+
+func (c *countingClient) Read(ctx context.Context, stream string, from uint64, most int, wait time.Duration) (logservice.Batch, error) {
+	c.reads.Add(1)
+	return c.Store.Read(ctx, stream, from, most, wait)
+}
+
+func (c *countingClient) Append(ctx context.Context, stream string, data ...[]byte) (uint64, error) {
+	c.appends.Add(1)
+	return c.Store.Append(ctx, stream, data...)
+}
+
+// start runs nodes of which the first ones follow the log.
+func (f *fixture) start(client logservice.Client, nodes, followers int) {
+	for i := range nodes {
+		f.seed++
+		r := New(Options{Client: client, Rand: rand.New(rand.NewPCG(1, f.seed)), Following: i < followers, Rank: func() int { return i }})
+		go func() { _ = r.Run(f.ctx) }()
+	}
+}
+
+// Guards against 1,400 nodes whose reads overload the log service, in the
+// steady state and while it is slow or down. docs/CAPACITY.md quotes the rates.
+func TestLogReadsOfTheDesignSize(t *testing.T) {
+	const nodes, followers, window = 1400, 33, 5 * time.Minute
+	inBubble(t, DefaultRetention, func(f *fixture) {
+		client := &countingClient{Store: f.store}
+		f.start(client, nodes, followers)
+		f.publish(0)
+		time.Sleep(3 * time.Minute)
+		rate := func(state string, most float64) {
+			before := client.reads.Load()
+			time.Sleep(window)
+			got := float64(client.reads.Load()-before) / window.Seconds()
+			t.Logf("%s: %.1f reads per second", state, got)
+			require.Less(t, got, most, state)
+		}
+		rate("up", 30)
+		f.store.SetDelay(2 * time.Second)
+		rate("slow", 30)
+		f.store.SetDelay(0)
+		f.store.SetOutage(true)
+		// The back-off of each node doubles from 200 ms, so the first minutes of
+		// an outage have more reads than the rest of it.
+		rate("down, first minutes", 90)
+		rate("down", 70)
+		f.store.SetOutage(false)
+		rate("up again", 30)
+	})
+}
+
+// Guards against snapshots that many nodes write in the same quarter of the
+// retention.
+func TestSnapshotsOfADay(t *testing.T) {
+	inBubble(t, DefaultRetention, func(f *fixture) {
+		client := &countingClient{Store: f.store}
+		f.start(client, 100, 33)
+		f.publish(0)
+		time.Sleep(24 * time.Hour)
+		appends := client.appends.Load()
+		t.Logf("snapshots appended in a day: %d", appends)
+		require.GreaterOrEqual(t, appends, int64(4))
+		require.LessOrEqual(t, appends, int64(8))
+	})
+}
