--- a/cmd/measure/connections.go
+++ b/cmd/measure/connections.go
@@ -50,7 +50,8 @@
 	}
 	t := table{title: "Peer connections of nodes in one process, all pairs called once and then idle", header: []string{
 		"nodes", "services", "connections per node (both directions)", "KB per node at rest", "KB per connection (both ends)",
-		"goroutines per node at rest", "goroutines per connection", "idle bytes/s per connection (both directions)", "segments/s per connection"}}
+		"goroutines per node at rest", "goroutines per connection", "idle bytes/s per connection (both directions)", "segments/s per connection",
+		"processor time per node at rest (% of a core)", "more per connection end (% of a core)"}}
 	for _, c := range []struct{ nodes, services int }{{4, 1}, {8, 2}, {16, 4}, {32, 1}, {32, 4}} {
 		if err := connectionsPoint(&t, c.nodes, c.services); err != nil {
 			return err
@@ -78,6 +79,7 @@
 	defer b.stop()
 	time.Sleep(time.Second)
 	restGoroutines, restMemory := runtime.NumGoroutine(), heapAndStacks()
+	restShare := processorShare(idleWindow)
 	if err := b.callAll(services); err != nil {
 		return err
 	}
@@ -88,7 +90,7 @@
 	}
 	usedGoroutines, usedMemory := runtime.NumGoroutine(), heapAndStacks()
 	start := time.Now()
-	time.Sleep(idleWindow)
+	usedShare := processorShare(idleWindow)
 	after, err := b.peerTraffic()
 	if err != nil {
 		return err
@@ -102,10 +104,19 @@
 	t.add(fmt.Sprint(nodes), fmt.Sprint(services), fmt.Sprintf("%.1f", float64(before.sockets)/n),
 		fmt.Sprintf("%.0f", (restMemory-memory)/n/1024), fmt.Sprintf("%.1f", (usedMemory-restMemory)/connections/1024),
 		fmt.Sprintf("%.1f", float64(restGoroutines-goroutines)/n), fmt.Sprintf("%.1f", float64(usedGoroutines-restGoroutines)/connections),
-		fmt.Sprintf("%.0f", bytes), fmt.Sprintf("%.1f", segments))
+		fmt.Sprintf("%.0f", bytes), fmt.Sprintf("%.1f", segments),
+		fmt.Sprintf("%.2f", restShare/n), fmt.Sprintf("%.3f", (usedShare-restShare)/connections/2))
 	return nil
 }
 
+// processorShare returns the processor time of this process over a window, in
+// percent of a core.
+func processorShare(window time.Duration) float64 {
+	start, before := time.Now(), processorTime()
+	time.Sleep(window)
+	return 100 * (processorTime() - before).Seconds() / time.Since(start).Seconds()
+}
+
 func startConnectionBench(nodes, services int) (*connectionBench, error) {
 	const free = "127.0.0.1:0"
 	log := logstore.New(logstore.Options{})
