Replay targets that declare a failure before the effect

A target of the replay whose sub-call was refused or failed stored that failure under the idempotency key of the payout or order, so every repeat got it. The replay's targets take effect after their last sub-call, so they declare it for a failed sub-call and for nothing else, and the node releases the claim.

--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -313,7 +313,10 @@
 	summary := s.leave(false)
 	s.trial = false
 	s.node.publish(s.node.quarantine.Completed(s.node.w.now, quarantine.Fingerprint(s.request.fingerprint)))
-	if s.claim != 0 {
+	switch {
+	case p.noEffect:
+		s.release()
+	case s.claim != 0:
 		s.node.claims.step(idempotency.Finish{Token: s.claim, Response: p.encode()})
 	}
 	s.respond(s.reply(p, summary.Unused, summary.Visited))
@@ -358,7 +361,8 @@
 	}
 }
 
-// release gives up the claim of a request that the target has not got.
+// release gives up the claim of a request that the target has not got, or that
+// failed there before its effect.
 func (s *served) release() {
 	if s.claim != 0 {
 		s.node.claims.step(idempotency.Release{Token: s.claim})
--- a/internal/replay/reply.go
+++ b/internal/replay/reply.go
@@ -10,6 +10,9 @@
 	status int
 	// body identifies the request that it answers.
 	body uint64
+	// noEffect is what a target declares when it failed before the request took
+	// effect.
+	noEffect bool
 }
 
 func refusal(k kind.Kind) reply {
--- a/internal/replay/target.go
+++ b/internal/replay/target.go
@@ -116,7 +116,8 @@
 		switch {
 		case j.over:
 		case p.status != http.StatusOK:
-			t.finish(j, reply{status: http.StatusBadGateway})
+			// The effect of an operation comes after its sub-calls.
+			t.finish(j, reply{status: http.StatusBadGateway, noEffect: true})
 		case p.body != j.attempt.request.body(op):
 			t.w.ledger.wrong++
 			t.finish(j, reply{status: http.StatusBadGateway})
