Drop a service time without a recent sample in package limit

Limiter.ServiceTime never aged. A target that had been slow and got no work since refused every request for which it had been too slow, and so measured no newer time. The replay's node ignored values older than 500 ms; the rule is now in the limiter, holds for load reports as well, and the mean starts again with the next sample. TestServiceTimeAges fails without it (400 ms instead of 0).

--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -52,8 +52,6 @@
 	expiry                *timer
 	draining, starting    bool
 	passed                service
-	// observedAt is when the limiter last got a sample.
-	observedAt time.Time
 }
 
 // served is a request at the node beside its target.
@@ -218,22 +216,10 @@
 	n.byImportance[s.request.importance]++
 	n.waiting[s.request.importance]++
 	n.decide(n.queue.Offer(n.w.now, admission.Request{
-		ID: s.id, Rank: s.request.rank(), Deadline: s.request.deadline, ServiceTime: n.serviceTime(),
+		ID: s.id, Rank: s.request.rank(), Deadline: s.request.deadline, ServiceTime: n.limiter.ServiceTime(),
 	}))
 }
 
-// serviceTimeAge is the age from which the service time is not used any more:
-// when every request is refused because the target is too slow for its deadline,
-// no newer one is measured.
-const serviceTimeAge = 500 * time.Millisecond
-
-func (n *node) serviceTime() time.Duration {
-	if n.w.now.Sub(n.observedAt) > serviceTimeAge {
-		return 0
-	}
-	return n.limiter.ServiceTime()
-}
-
 func (n *node) forget(s *served) {
 	delete(n.served, s.id)
 	n.byImportance[s.request.importance]--
@@ -327,7 +313,6 @@
 	n, now := s.node, s.node.w.now
 	summary, _ := n.chains.Leave(now, s.token)
 	n.forget(s)
-	n.observedAt = now
 	n.limiter.Observe(now, limit.Sample{
 		Latency: summary.Own, Total: summary.Total, InFlight: len(n.target.running) + len(n.target.waiting) + 1, TimedOut: timedOut,
 	})
--- a/limit/constants.go
+++ b/limit/constants.go
@@ -31,6 +31,10 @@
 	raiseExponent = 0.65
 	// serviceSamples is the number of samples over which the recent means decay.
 	serviceSamples = 32
+	// serviceTimeAge is the age from which the mean service time is not used. It
+	// equals the longest wait between raises, so that a target that is fast again
+	// gets work in time for the 2 s for recovery.
+	serviceTimeAge = 500 * time.Millisecond
 
 	// saturated is the share of the limit in use above which it is binding.
 	saturated = 0.9
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -35,7 +35,9 @@
 	// service and response are recent means of the own and the total time of
 	// requests that were not refused.
 	service, response time.Duration
-	window            window
+	// servedAt is the time of the newest sample in service.
+	servedAt time.Time
+	window   window
 	// recent sums the windows since the limit last changed, with weights that
 	// halve.
 	recent window
@@ -103,9 +105,13 @@
 	}
 	bad := s.Refused || s.TimedOut && s.Latency >= timeoutFactor*l.baseline
 	if !s.Refused {
-		if l.service == 0 {
-			l.service, l.response = s.Latency, s.Total
+		if l.response == 0 {
+			l.response = s.Total
 		}
+		if l.ServiceTime() == 0 {
+			l.service = s.Latency
+		}
+		l.servedAt = l.now
 		l.service += (s.Latency - l.service) / serviceSamples
 		l.response += (s.Total - l.response) / serviceSamples
 	}
@@ -135,12 +141,19 @@
 }
 
 // ServiceTime returns the recent mean of the target's own latency, or 0 when
-// nothing has been observed.
-func (l *Limiter) ServiceTime() time.Duration { return l.service }
+// nothing has been observed within serviceTimeAge. The mean then starts again
+// with the next sample. Otherwise a queue that refuses requests for which the
+// target was too slow would never learn that it is fast again.
+func (l *Limiter) ServiceTime() time.Duration {
+	if l.now.Sub(l.servedAt) > serviceTimeAge {
+		return 0
+	}
+	return l.service
+}
 
 // State returns the state of the limiter.
 func (l *Limiter) State() State {
-	s := State{Limit: l.Limit(), Phase: "steady", Baseline: l.baseline, ServiceTime: l.service, Ceiling: l.ceiling()}
+	s := State{Limit: l.Limit(), Phase: "steady", Baseline: l.baseline, ServiceTime: l.ServiceTime(), Ceiling: l.ceiling()}
 	if l.trial != nil {
 		s.Phase = string(l.trial.cause)
 	}
--- a/limit/limiter_test.go
+++ b/limit/limiter_test.go
@@ -222,6 +222,24 @@
 	require.Equal(t, 50, l.Limit())
 }
 
+// Guards against a target that was slow and is refused every request for which
+// it was too slow, although it has had no work since.
+func TestServiceTimeAges(t *testing.T) {
+	l := limiter()
+	for range 100 {
+		l.Observe(epoch, limit.Sample{Latency: 400 * ms, InFlight: 1})
+	}
+	l.Tick(epoch.Add(400 * ms))
+	require.Equal(t, 400*ms, l.ServiceTime())
+	// A refusal says nothing about the service time.
+	l.Observe(epoch.Add(450*ms), limit.Sample{Latency: ms, InFlight: 1, Refused: true})
+	l.Tick(epoch.Add(600 * ms))
+	require.Zero(t, l.ServiceTime())
+	require.Zero(t, l.State().ServiceTime)
+	l.Observe(epoch.Add(650*ms), limit.Sample{Latency: 20 * ms, InFlight: 1})
+	require.Equal(t, 20*ms, l.ServiceTime())
+}
+
 // Guards against a limit outside the bounds of the policy, and against a crash,
 // on samples that make no sense.
 func TestLimitStaysWithinItsBounds(t *testing.T) {
--- a/limit/state.go
+++ b/limit/state.go
@@ -10,7 +10,8 @@
 	// Baseline is the latency without queueing inside the target, as far as it
 	// is known.
 	Baseline time.Duration
-	// ServiceTime is the recent mean of the target's own latency.
+	// ServiceTime is the recent mean of the target's own latency, or 0 when there
+	// is no recent sample.
 	ServiceTime time.Duration
 	// Ceiling is the bound on the limit from the slots and the cold start ramp.
 	Ceiling int
