Replay recorded keys at the time of their recording

A recorded client key that is a UUID of version 7 carries the time of the recording. The replay began at a fixed virtual time, so that all such keys were outside the skew and every payout was refused.

--- a/internal/replay/allowed.go
+++ b/internal/replay/allowed.go
@@ -8,6 +8,11 @@
 // allowedStep is the resolution at which the allowed goodput is added up.
 const allowedStep = 50 * time.Millisecond
 
+// recordedWindow is the time over which recorded arrivals are averaged to a
+// rate. In a shorter one, the noise of the arrivals would count as demand above
+// the slots and lower the bound.
+const recordedWindow = time.Second
+
 // allowed is the number of whole requests that the slots allow between two
 // times. It is worked out from the trace alone:
 //
@@ -19,16 +24,21 @@
 //   - At each moment the slots are given to the operations in the order of
 //     importance, each up to its demand: the requests that arrive, without
 //     repeats. Within the same importance the shorter operation goes first.
+//     Recorded requests count as a constant rate in each recordedWindow.
 func allowed(t *Trace, from, to time.Duration) float64 {
 	total := 0.0
+	var recorded map[string]float64
 	for at := from; at < to; at += allowedStep {
+		if (at-from)%recordedWindow == 0 {
+			recorded = t.recordedDemand(at, min(at+recordedWindow, to))
+		}
 		free := map[string]float64{}
 		for _, s := range t.Head.Services {
 			free[s.Name] = float64(s.Targets * s.Slots)
 		}
 		demand := t.demand(at)
 		for _, o := range byImportance(&t.Head) {
-			rate := demand[o.Name]
+			rate := demand[o.Name] + recorded[o.Name]
 			use := map[string]float64{}
 			t.holdingSeconds(o, at, use)
 			for service, hold := range use {
@@ -43,7 +53,20 @@
 	return total
 }
 
-// demand returns the arrival rate of each operation at a time.
+// recordedDemand returns the mean rate of the recorded requests of each
+// operation between two times.
+func (t *Trace) recordedDemand(from, to time.Duration) map[string]float64 {
+	rates := map[string]float64{}
+	for _, e := range t.Events {
+		if e.Method != "" && ms(e.At) >= from && ms(e.At) < to {
+			rates[t.Head.find(e.Service, e.Method, e.Path).Name] += 1 / (to - from).Seconds()
+		}
+	}
+	return rates
+}
+
+// demand returns the arrival rate of each operation at a time, without recorded
+// requests.
 func (t *Trace) demand(at time.Duration) map[string]float64 {
 	rates := map[string]float64{}
 	for _, e := range t.Events {
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -5,12 +5,15 @@
 	"time"
 )
 
-// start is the virtual time at which every trace begins.
-var start = time.Unix(1_700_000_000, 0)
+// defaultStart is the virtual time at which a trace without recorded key times
+// begins.
+var defaultStart = time.Unix(1_700_000_000, 0)
 
 // engine runs functions in the order of virtual time; functions for the same
 // time run in the order in which they were added.
 type engine struct {
+	// start is the virtual time at which the trace begins.
+	start time.Time
 	now   time.Time
 	queue timers
 	added uint64
@@ -53,4 +56,4 @@
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // elapsed is the time since the start of the trace.
-func (e *engine) elapsed() time.Duration { return e.now.Sub(start) }
+func (e *engine) elapsed() time.Duration { return e.now.Sub(e.start) }
--- a/internal/replay/figures.go
+++ b/internal/replay/figures.go
@@ -62,7 +62,7 @@
 			important[1]++
 			if ok {
 				important[0]++
-				latencies = append(latencies, r.answeredAt.Sub(start)-r.at)
+				latencies = append(latencies, r.answeredAt.Sub(w.start)-r.at)
 			}
 		}
 		f["requests"]++
@@ -105,7 +105,7 @@
 func (w *world) completed(from, to time.Duration) int {
 	n := 0
 	for _, r := range w.ledger.requests {
-		if at := r.answeredAt.Sub(start); !r.answeredAt.IsZero() && at >= from && at < to {
+		if at := r.answeredAt.Sub(w.start); !r.answeredAt.IsZero() && at >= from && at < to {
 			n++
 		}
 	}
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -44,7 +44,7 @@
 // replay runs the trace through one version.
 func replay(t *Trace, make func(*world) system) *world {
 	w := newWorld(t, make)
-	w.runUntil(start.Add(ms(t.Head.DurationMS) + tail))
+	w.runUntil(w.start.Add(ms(t.Head.DurationMS) + tail))
 	return w
 }
 
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -38,7 +38,8 @@
 // newWorld makes the targets and schedules every event of the trace.
 func newWorld(t *Trace, make func(*world) system) *world {
 	w := &world{head: &t.Head, byService: map[string][]*target{}, slow: map[string]float64{}, ledger: newLedger(&t.Head)}
-	w.now = start
+	w.start = t.start()
+	w.now = w.start
 	for i := range t.Head.Services {
 		s := &t.Head.Services[i]
 		for k := range s.Targets {
@@ -115,7 +116,7 @@
 	if deadline == 0 {
 		deadline = o.TimeoutMS
 	}
-	return &request{op: o, at: at, key: key, deadline: start.Add(at + ms(deadline))}
+	return &request{op: o, at: at, key: key, deadline: w.start.Add(at + ms(deadline))}
 }
 
 // inject begins a fault and schedules its end.
