Ping a peer connection only while a call waits on it

Cause: the pings of the HTTP/2 transport go on while a connection is idle: 630 to 718 bytes a second at each end (docs/CAPACITY.md), so that three idle connections exceed the 2 KB a second that a node may spend on control.

Seen: go test ./node passes, with the race detector as well; TestSilentPeerConnectionIsReplaced still finds a silent connection.

--- a/node/configuration.go
+++ b/node/configuration.go
@@ -8,6 +8,7 @@
 
 	"github.com/goldcrestsail/goldcrestsail/configlog"
 	"github.com/goldcrestsail/goldcrestsail/configsync"
+	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/membership"
 	"github.com/goldcrestsail/goldcrestsail/peerrpc"
 	"github.com/goldcrestsail/goldcrestsail/policy"
@@ -104,12 +105,16 @@
 func (c *configuration) pull(ctx context.Context, peer string) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	answer, err := c.node.peers.client(peer).PullConfig(ctx, &peerrpc.PullConfigRequest{HaveOffset: c.state().Offset()})
-	if err == nil {
-		err = c.runner.Adopt(answer.Snapshot)
+	var answer *peerrpc.PullConfigResponse
+	failure := c.node.peers.call(ctx, peer, func(ctx context.Context, p peerrpc.Peer) (err error) {
+		answer, err = p.PullConfig(ctx, &peerrpc.PullConfigRequest{HaveOffset: c.state().Offset()})
+		return err
+	})
+	if failure == nil {
+		failure = kind.Of(c.runner.Adopt(answer.Snapshot))
 	}
-	if err != nil {
-		c.node.log.Warn("configuration not pulled from a peer; reading the log", "peer", peer, "error", err)
+	if failure != nil {
+		c.node.log.Warn("configuration not pulled from a peer; reading the log", "peer", peer, "error", failure)
 		c.runner.ReadNow()
 	}
 }
--- a/node/forward.go
+++ b/node/forward.go
@@ -166,9 +166,12 @@
 	if string(id) == n.id.String() {
 		response = n.execute(ctx, call)
 	} else {
-		var err error
-		if response, err = n.peers.client(address).Call(ctx, call); err != nil {
-			return nil, peerError(ctx, err)
+		failure := n.peers.call(ctx, address, func(ctx context.Context, p peerrpc.Peer) (err error) {
+			response, err = p.Call(ctx, call)
+			return err
+		})
+		if failure != nil {
+			return nil, failure
 		}
 	}
 	if response.RequestId != call.RequestId {
--- a/node/guards.go
+++ b/node/guards.go
@@ -116,11 +116,15 @@
 	if !ok {
 		return idempotency.Outcome{}, kind.New(kind.PeerLost, "the owner of the claim is not a member")
 	}
-	answer, err := a.node.peers.client(address).Outcome(ctx, &peerrpc.OutcomeRequest{
-		Customer: a.name.Customer, Service: a.name.Service, KeyHash: ref, Owner: owner.String(), WaitMs: wait.Milliseconds(),
+	var answer *peerrpc.OutcomeResponse
+	failure := a.node.peers.call(ctx, address, func(ctx context.Context, p peerrpc.Peer) (err error) {
+		answer, err = p.Outcome(ctx, &peerrpc.OutcomeRequest{
+			Customer: a.name.Customer, Service: a.name.Service, KeyHash: ref, Owner: owner.String(), WaitMs: wait.Milliseconds(),
+		})
+		return err
 	})
-	if err != nil {
-		return idempotency.Outcome{}, peerError(ctx, err)
+	if failure != nil {
+		return idempotency.Outcome{}, failure
 	}
 	return idempotency.Outcome{State: idempotency.OutcomeState(answer.State), Response: answer.Response}, nil
 }
--- a/node/keys.go
+++ b/node/keys.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -68,12 +69,15 @@
 	if failure != nil {
 		return nil, failure
 	}
-	answer, err := n.peers.client(address).IssueKeys(r.Context(), &peerrpc.IssueKeysRequest{
-		Customer: name.Customer, Service: name.Service, Count: asked.Count,
+	var answer *peerrpc.IssueKeysResponse
+	failure = n.peers.call(r.Context(), address, func(ctx context.Context, p peerrpc.Peer) (err error) {
+		answer, err = p.IssueKeys(ctx, &peerrpc.IssueKeysRequest{
+			Customer: name.Customer, Service: name.Service, Count: asked.Count,
+		})
+		return err
 	})
 	result := routing.Result{Latency: time.Since(start), Status: http.StatusOK}
-	if err != nil {
-		failure = peerError(r.Context(), err)
+	if failure != nil {
 		result = routing.Result{Kind: failure.Kind}
 	}
 	n.router.done(time.Now(), name, id, result)
--- a/node/node.go
+++ b/node/node.go
@@ -139,9 +139,7 @@
 	s := &server{name: name, listener: listener, http: &http.Server{
 		Handler: handler, Protocols: protocols, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: 10 * time.Second,
 		ErrorLog: n.log.StandardLogger(&hclog.StandardLoggerOptions{InferLevels: true}),
-		HTTP2: &http.HTTP2Config{
-			MaxConcurrentStreams: maxConcurrentStreams, SendPingTimeout: pingAfter, PingTimeout: pingTimeout,
-		},
+		HTTP2:    &http.HTTP2Config{MaxConcurrentStreams: maxConcurrentStreams},
 	}}
 	n.servers = append(n.servers, s)
 	go s.http.Serve(listener)
--- a/node/peer_service.go
+++ b/node/peer_service.go
@@ -49,6 +49,11 @@
 	}, nil
 }
 
+// Ping implements peerrpc.Peer.
+func (s *peerService) Ping(context.Context, *peerrpc.PingRequest) (*peerrpc.PingResponse, error) {
+	return &peerrpc.PingResponse{}, nil
+}
+
 // IssueKeys implements peerrpc.Peer.
 func (s *peerService) IssueKeys(_ context.Context, q *peerrpc.IssueKeysRequest) (*peerrpc.IssueKeysResponse, error) {
 	guard, failure := s.node.guards.get(policy.ServiceName{Customer: q.Customer, Service: q.Service})
--- a/node/peers.go
+++ b/node/peers.go
@@ -4,65 +4,80 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"sync"
 
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/peerrpc"
 )
 
-// peers holds the RPC clients of other nodes. All share one transport, which
-// keeps one multiplexed HTTP/2 connection per peer.
+// peers holds the connections to other nodes, one for each peer address. It is
+// safe for concurrent use.
 type peers struct {
-	transport *http.Transport
-	mu        sync.RWMutex
-	clients   map[string]peerrpc.Peer
+	mu    sync.RWMutex
+	conns map[string]*peerConn
 }
 
-func newPeers() *peers {
-	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(true)
-	return &peers{
-		clients: map[string]peerrpc.Peer{},
-		transport: &http.Transport{
-			Protocols:       &protocols,
-			DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			IdleConnTimeout: idleConnectionTimeout,
-			HTTP2: &http.HTTP2Config{
-				MaxConcurrentStreams: maxConcurrentStreams,
-				SendPingTimeout:      pingAfter,
-				PingTimeout:          pingTimeout,
-				WriteByteTimeout:     pingAfter + pingTimeout,
-			},
-		},
-	}
-}
+func newPeers() *peers { return &peers{conns: map[string]*peerConn{}} }
 
-// client returns the RPC client of the node with the given peer address.
-func (p *peers) client(address string) peerrpc.Peer {
+// conn returns the connection to the node with the given peer address.
+func (p *peers) conn(address string) *peerConn {
 	p.mu.RLock()
-	c := p.clients[address]
+	c := p.conns[address]
 	p.mu.RUnlock()
 	if c != nil {
 		return c
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c = p.clients[address]; c == nil {
-		c = peerrpc.NewPeerProtobufClient("http://"+address, &http.Client{Transport: p.transport})
-		p.clients[address] = c
+	if c = p.conns[address]; c == nil {
+		c = newPeerConn(address)
+		p.conns[address] = c
 	}
 	return c
 }
 
-// forget drops the client of a peer that has left.
+// call runs an RPC of a peer. When the connection turns out to be silent the
+// RPC ends with peer-lost, and later calls use a new connection; a response that
+// still arrives on the old one is dropped.
+func (p *peers) call(ctx context.Context, address string, rpc func(context.Context, peerrpc.Peer) error) *kind.Error {
+	c := p.conn(address)
+	watched, done := c.watch(ctx, func() { p.drop(address, c) })
+	defer done()
+	if err := rpc(watched, c.client); err != nil {
+		return peerError(ctx, err)
+	}
+	return nil
+}
+
+// drop forgets a connection, unless another one has replaced it.
+func (p *peers) drop(address string, c *peerConn) {
+	p.mu.Lock()
+	if p.conns[address] == c {
+		delete(p.conns, address)
+	}
+	p.mu.Unlock()
+	c.close()
+}
+
+// forget drops the connection to a peer that has left. Calls in flight go on,
+// since the membership can be wrong about the peer.
 func (p *peers) forget(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.clients, address)
+	if c := p.conns[address]; c != nil {
+		delete(p.conns, address)
+		c.transport.CloseIdleConnections()
+	}
 }
 
-func (p *peers) close() { p.transport.CloseIdleConnections() }
+func (p *peers) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		c.close()
+	}
+	p.conns = map[string]*peerConn{}
+}
 
 // peerError maps the error of an RPC to a kind. A dial that failed is the only
 // case in which the request certainly did not reach the peer.
