--- a/internal/standin/target/handler.go
+++ b/internal/standin/target/handler.go
@@ -73,13 +73,13 @@
 		panic(http.ErrAbortHandler)
 	}
 	if !sleep(r, t.serviceTime(started)) {
-		chainhttp.NoEffect(w)
+		t.declareNoEffect(w, r)
 		http.Error(w, "deadline passed", http.StatusGatewayTimeout)
 		return
 	}
 	calls, status := t.callOthers(r)
 	if status != http.StatusOK {
-		chainhttp.NoEffect(w)
+		t.declareNoEffect(w, r)
 		http.Error(w, "sub-call failed", status)
 		return
 	}
--- a/internal/standin/target/record.go
+++ b/internal/standin/target/record.go
@@ -7,10 +7,11 @@
 	"github.com/goldcrestsail/goldcrestsail/chainhttp"
 )
 
-// StartPath and EffectPath are the paths of a remote ledger.
+// Paths of a remote ledger.
 const (
-	StartPath  = "/start"
-	EffectPath = "/effect"
+	StartPath    = "/start"
+	EffectPath   = "/effect"
+	NoEffectPath = "/no-effect"
 )
 
 // recordStart records the start of a request and reports success.
@@ -29,6 +30,14 @@
 	return t.post(EffectPath, url.Values{"key": {key}})
 }
 
+// declareNoEffect states in the answer that the request failed before its
+// effect, after the ledger has recorded it.
+func (t *Target) declareNoEffect(w http.ResponseWriter, r *http.Request) {
+	if t.post(NoEffectPath, url.Values{"path": {r.URL.Path}}) {
+		chainhttp.NoEffect(w)
+	}
+}
+
 func (t *Target) post(path string, values url.Values) bool {
 	if t.config.LedgerURL == "" {
 		return true
@@ -50,6 +59,7 @@
 		l.executed(r.FormValue("request"), service, r.FormValue("path"))
 	case EffectPath:
 		l.effect(service, r.FormValue("key"))
+	case NoEffectPath:
 	default:
 		http.NotFound(w, r)
 	}
