Forget the table of a service with its last target, and peers without a service

Cause: docs/CAPACITY.md lists router.tables and the peer connections as maps without a bound.

Seen: go test ./node passes.

Conclusion: both follow the members present now.

--- a/node/members.go
+++ b/node/members.go
@@ -63,9 +63,12 @@
 // MemberChanged implements gossip.Delegate.
 func (d *delegate) MemberChanged(m membership.Member) {
 	n := d.node
-	if gone := n.router.update(time.Now(), m); gone != "" {
-		n.peers.forget(gone)
+	gone := n.router.update(time.Now(), m)
+	if !m.State.Present() {
+		// A peer that never announced a service may have served a pull.
+		gone = m.Meta.PeerAddr.String()
 	}
+	n.peers.forget(gone)
 	n.log.Debug("member changed", "member", m.ID.String(), "state", m.State.String(),
 		"service", m.Meta.Service, "target_state", m.Meta.TargetState.String())
 }
--- a/node/router.go
+++ b/node/router.go
@@ -46,8 +46,7 @@
 	service := policy.ServiceName{Customer: m.Meta.Customer, Service: m.Meta.Service}
 	previous, known := r.endpoints[id]
 	if known && (previous.service != service || !m.State.Present()) {
-		r.tables[previous.service].Remove(now, id)
-		delete(r.endpoints, id)
+		r.removeLocked(now, id, previous.service)
 		gone = previous.address
 	}
 	if !m.State.Present() || service.Service == "" {
@@ -60,6 +59,16 @@
 	return ""
 }
 
+// removeLocked forgets a target, and its service's table with the last one.
+func (r *router) removeLocked(now time.Time, id routing.TargetID, service policy.ServiceName) {
+	delete(r.endpoints, id)
+	table := r.tables[service]
+	table.Remove(now, id)
+	if len(table.Snapshot(now)) == 0 {
+		delete(r.tables, service)
+	}
+}
+
 func (r *router) tableLocked(service policy.ServiceName) *routing.Table {
 	t := r.tables[service]
 	if t == nil {
@@ -91,7 +100,9 @@
 func (r *router) done(now time.Time, service policy.ServiceName, id routing.TargetID, result routing.Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.tables[service].Done(now, id, result)
+	if table := r.tables[service]; table != nil {
+		table.Done(now, id, result)
+	}
 }
 
 // address returns the peer address of a target's node.
