--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -113,10 +113,10 @@
 				classes: []policy.Class{class("order-history", 6, reads, "/history/**", 3*time.Second)}},
 		},
 		classes: []loadClass{
-			{name: "order", service: "order", method: http.MethodPost, path: "/orders", rate: 40, keyed: true, timeout: 4 * time.Second},
+			{name: "order", service: "order", method: http.MethodPost, path: "/orders", rate: 40, keyed: true, timeout: 8 * time.Second},
 			{name: "quote", service: "pris", method: http.MethodGet, path: "/quotes/7", rate: 150, timeout: time.Second},
-			{name: "catalogue", service: "katalog", method: http.MethodGet, path: "/catalogue/7", rate: 300, timeout: 3 * time.Second},
-			{name: "order-history", service: "arkiv", method: http.MethodGet, path: "/history/7", rate: 350, timeout: 3 * time.Second},
+			{name: "catalogue", service: "katalog", method: http.MethodGet, path: "/catalogue/7", rate: 300, timeout: 6 * time.Second},
+			{name: "order-history", service: "arkiv", method: http.MethodGet, path: "/history/7", rate: 350, timeout: 6 * time.Second},
 		},
 	},
 }
--- a/internal/demo/options.go
+++ b/internal/demo/options.go
@@ -28,7 +28,7 @@
 )
 
 // DefaultDuration keeps both runs under a minute.
-const DefaultDuration = 24 * time.Second
+const DefaultDuration = 22 * time.Second
 
 // minDuration leaves each phase a few windows of goodput.
 const minDuration = 8 * time.Second
