Let a target that was slow once get work again

Cause: the memory of a long service time fades but never ends, so the costs of two idle targets never meet; with one call at a time a target that was slow once got no work for ever.

Conclusion: a difference below 1% counts as none.

--- a/routing/cost.go
+++ b/routing/cost.go
@@ -31,6 +31,10 @@
 	refusalHalfLife = 200 * time.Millisecond
 	// maxRefusals bounds the count, so that it is forgotten within a second.
 	maxRefusals = 8
+	// negligible is the part of a cost below which a memory that fades counts as
+	// gone. Otherwise a target that was slow once stays the more expensive one
+	// for ever, and gets no call while there is one at a time.
+	negligible = 0.01
 	// meanWeight is the weight of one report in the averages over all targets.
 	meanWeight = 0.05
 )
@@ -93,7 +97,11 @@
 	if ratio > 1/latencyNoise && ratio < latencyNoise {
 		return 1
 	}
-	return math.Pow(ratio, halved(1, now.Sub(g.latencyAt), latencyHalfLife))
+	factor := math.Pow(ratio, halved(1, now.Sub(g.latencyAt), latencyHalfLife))
+	if math.Abs(factor-1) < negligible {
+		return 1
+	}
+	return factor
 }
 
 // learnAtLeast enters the latency of a call that ended without a response.
@@ -118,7 +126,11 @@
 	for _, r := range g.refusals[:clamp(importance)+1] {
 		n += r
 	}
-	return min(halved(n, now.Sub(g.refusedAt), refusalHalfLife), maxRefusals)
+	n = min(halved(n, now.Sub(g.refusedAt), refusalHalfLife), maxRefusals)
+	if n < negligible {
+		return 0
+	}
+	return n
 }
 
 func (t *Table) learnLoad(g *target, now time.Time, load Load) {
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -325,3 +325,29 @@
 		})
 	}
 }
+
+// Guards against a memory of slowness that fades but never ends: with one call
+// at a time a target that was slow once would get no work for ever.
+func TestOnceSlowTargetGetsWorkWithOneCallAtATime(t *testing.T) {
+	table, rng := filled("n", 2, 1), newRand()
+	report := func(i int, at time.Time, took time.Duration) {
+		call(table, at, id(i), Result{Latency: took, Load: &Load{Limit: 10, ServiceTime: took}})
+	}
+	now := epoch
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		report(0, now, 500*time.Millisecond)
+		report(1, now, 10*time.Millisecond)
+	}
+	now = now.Add(time.Minute)
+	picked := 0
+	for range 200 {
+		now = now.Add(100 * time.Millisecond)
+		at, err := table.Pick(rng, now, PickInput{})
+		require.NoError(t, err)
+		if at == id(0) {
+			picked++
+		}
+	}
+	require.Greater(t, picked, 50)
+}
