--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -69,7 +69,7 @@
 
 var reads = []string{http.MethodGet}
 
-// deployments by name. Slots, targets and connections are those of the brief;
+// deployments by name. Slots, targets and connections are those of the design;
 // service times are chosen so that one machine carries the load.
 var deployments = map[string]*deployment{
 	"qureshi": {
--- a/node/members.go
+++ b/node/members.go
@@ -23,6 +23,9 @@
 		}
 		seeds = append(seeds, seed)
 	}
+	found := n.discover()
+	n.discovered = len(found)
+	seeds = append(seeds, found...)
 	n.gossip, err = gossip.Start(gossip.Config{
 		Listen: listen, Delegate: &delegate{n}, Logger: n.log.Named("gossip"),
 		Membership: membership.Config{ID: n.id, Meta: n.meta(), Seeds: seeds},
--- a/node/node.go
+++ b/node/node.go
@@ -43,6 +43,8 @@
 	intake        intake
 	quarantine    *quarantineTable
 
+	// discovered is the number of addresses that the log gave at the start.
+	discovered int
 	// applied is the policy that gate and guard were configured with.
 	applied  atomic.Pointer[policy.Policy]
 	servers  []*server
@@ -122,6 +124,7 @@
 	n.stopTimer = cancel
 	n.configuration.start(ctx)
 	go n.watchTarget(ctx)
+	go n.announceAddress(ctx, n.discovered)
 	if a := n.config.Announcement; a != nil {
 		n.announced(*a)
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"sync"
@@ -150,3 +151,19 @@
 		require.Equal(t, repeat, f.call(n, http.MethodPost, "front", path, chainhttp.HeaderKey, key).status, path)
 	}
 }
+
+// Guards against a node that cannot join because its settings name no seed
+// that is still there.
+func TestNodesFindEachOtherThroughTheLog(t *testing.T) {
+	f := newFixture(t)
+	f.publish("front", nil)
+	noSeeds := func(c *Config) { c.Seeds = nil }
+	for range 2 {
+		f.addHandler("front", func(http.ResponseWriter, *http.Request) {}, noSeeds)
+		require.Eventually(t, func() bool {
+			batch, err := f.log.Read(context.Background(), nodesStream, 0, 10, 0)
+			return err == nil && len(batch.Records) == len(f.nodes)
+		}, eventually, time.Millisecond)
+	}
+	f.ready()
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/goldcrestsail/goldcrestsail/kind"
@@ -70,6 +72,13 @@
 	}
 }
 
+// addresses returns the peers with a connection, in order.
+func (p *peers) addresses() []string {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return slices.Sorted(maps.Keys(p.conns))
+}
+
 func (p *peers) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
