--- a/claims/group_appender_test.go
+++ b/claims/group_appender_test.go
@@ -55,7 +55,7 @@
 		a := NewGroupAppender(store, "s", DefaultAppendInterval, time.Second)
 		defer a.Close()
 		a.SetInterval(400 * time.Millisecond)
-		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 1900*time.Millisecond)
 		defer cancel()
 		for a.Append(ctx, []byte("x")) == nil {
 		}
