Do not retry claim-unavailable at another target

Cause: all nodes of a service depend on the same log, so in an outage each further attempt waits for it again and draws on allowance and budget.

--- a/kind/table.go
+++ b/kind/table.go
@@ -33,7 +33,7 @@
 	Starting:           {http.StatusServiceUnavailable, true, NotRun, retryAfterOverload, "Repeat; the target is not ready yet."},
 	DialFailed:         {http.StatusBadGateway, true, NotRun, retryAfterOverload, "Repeat; the target could not be reached."},
 	AllowanceExhausted: {http.StatusTooManyRequests, false, NotRun, 0, "Do not repeat within this chain; its retry allowance is used up."},
-	ClaimUnavailable:   {http.StatusServiceUnavailable, true, NotRun, retryAfterOutage, "Repeat with the same key later. Use an issued key only if every earlier try was not run."},
+	ClaimUnavailable:   {http.StatusServiceUnavailable, false, NotRun, retryAfterOutage, "Repeat with the same key later. Use an issued key only if every earlier try was not run."},
 	ClaimLost:          {http.StatusConflict, false, MayHaveRun, retryAfterOutage, "Repeat with the same key, or look up the effect at the service."},
 	AlreadyRan:         {http.StatusConflict, false, Ran, 0, "Do not repeat; the request took effect, its answer is no longer kept."},
 	Quarantined:        {http.StatusForbidden, false, NotRun, 0, "Do not repeat; the request crashed targets. Report it."},
