Drop a field of the peer protocol that nothing reads

Cause: the entry node alone decides on retries; CallRequest.retryable was set and never read.

Seen: go vet and go test ./node pass.

--- a/node/forward.go
+++ b/node/forward.go
@@ -128,7 +128,7 @@
 		TimeoutMicros: (left - min(left/marginShare, maxMargin)).Microseconds(),
 		ChainId:       q.chainID, Depth: uint32(q.depth), Importance: uint32(q.importance), Class: q.class.Name,
 		Allowance: uint32(allowance), NonIdempotent: q.class.NonIdempotent, Key: q.key,
-		SuspectCrashes: f.crashes, Fingerprint: q.fingerprint, Retryable: q.class.Retryable, PathServices: q.services,
+		SuspectCrashes: f.crashes, Fingerprint: q.fingerprint, PathServices: q.services,
 	}
 }
 
