Look at the claim before the queue, and mark the write right before it

Cause: the node of a target refused a non-idempotent request by the admission level before it looked at the claim. The level holds for 200 ms after an overload while the queue admits again, so a payout could be refused while a less important read is admitted, and a repeat of a request that ran was refused instead of given its response. The write was also marked before a wait of up to 0.75 s for the trial of a suspect.

Conclusion: the queue alone decides; a request that it sheds releases its claim.

--- a/node/execute.go
+++ b/node/execute.go
@@ -101,10 +101,6 @@
 // runOnce runs a non-idempotent request at most once for its key. The request
 // goes on when the caller leaves after it was passed to the target.
 func (n *Node) runOnce(ctx context.Context, x *execution) (*peerrpc.CallResponse, *kind.Error) {
-	if n.gate.refuses(x.rank) {
-		// A claim for a request that is shed anyway would cost two appends.
-		return nil, kind.New(kind.Shed, "the admission level refuses the request")
-	}
 	guard, failure := n.guards.get(policy.ServiceName{Customer: x.call.Customer, Service: x.call.Service})
 	if failure != nil {
 		return nil, failure
@@ -171,14 +167,6 @@
 		x.release()
 		return nil, failure
 	}
-	if x.token != nil {
-		if err := x.token.MarkWritten(); err != nil {
-			n.chains.leave(time.Now(), token)
-			n.gate.release(id, nil)
-			x.release()
-			return nil, kind.Of(err)
-		}
-	}
 	response, failure := n.send(ctx, x, token)
 	summary := n.chains.leave(time.Now(), token)
 	x.unused, x.visited = summary.Unused, summary.Visited
@@ -196,6 +184,14 @@
 	if failure != nil {
 		return nil, failure
 	}
+	if x.token != nil {
+		// After the wait for a trial, so that nothing comes between this and
+		// the first byte.
+		if err := x.token.MarkWritten(); err != nil {
+			end(false)
+			return nil, kind.Of(err)
+		}
+	}
 	run := n.target.begin(x.call.Fingerprint)
 	response, failure := n.target.clientFor(x.policy).send(ctx, &targetRequest{
 		call: x.call, token: token.String(), deadline: x.deadline, maxAnswerBytes: x.policy.MaxAnswerBytes,
--- a/node/fixture_test.go
+++ b/node/fixture_test.go
@@ -129,7 +129,7 @@
 func (n *Node) claimsReady() bool {
 	a, _ := n.target.current()
 	guard, failure := n.guards.get(a.service())
-	return failure == nil && guard.Dump().CaughtUp
+	return failure == nil && guard.Ready()
 }
 
 // response is a whole response.
--- a/node/gate.go
+++ b/node/gate.go
@@ -157,13 +157,6 @@
 	}
 }
 
-// refuses reports whether a request of this rank would be refused now.
-func (g *gate) refuses(rank admission.Rank) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return rank.RefusedAt(g.queue.Level(time.Now()))
-}
-
 // tick runs the time-driven parts of queue and limiter.
 func (g *gate) tick() {
 	now := time.Now()
