Move the gate and the directory of targets into packages of their own

A second kind of node needs both. The gate took a policy and reported in the peer protocol; it now takes its bounds and reports a plain type. Membership learns to add seeds after the start, for a store that answers late.

--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,159 @@
+// Package directory holds one node's view of the targets of all services: which
+// there are, where their nodes serve peers, and how they do.
+package directory
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/membership"
+	"github.com/goldcrestsail/goldcrestsail/routing"
+)
+
+// Directory holds the routing tables of all services and the peer addresses of
+// their nodes. It is safe for concurrent use.
+type Directory struct {
+	self          string
+	failureDomain string
+	mu            sync.Mutex
+	rng           *rand.Rand
+	tables        map[string]*routing.Table
+	endpoints     map[routing.TargetID]endpoint
+}
+
+// endpoint is where a target's node serves peers.
+type endpoint struct {
+	address string
+	service string
+}
+
+// New returns an empty directory of the node named self.
+func New(self, failureDomain string, rng *rand.Rand) *Directory {
+	return &Directory{
+		self: self, failureDomain: failureDomain, rng: rng,
+		tables:    map[string]*routing.Table{},
+		endpoints: map[routing.TargetID]endpoint{},
+	}
+}
+
+// Update applies a membership change and returns the peer address of a member
+// that is gone.
+func (d *Directory) Update(now time.Time, m membership.Member) (gone string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	id := routing.TargetID(m.ID.String())
+	service := ServiceOf(m.Meta)
+	previous, known := d.endpoints[id]
+	if known && (previous.service != service || !m.State.Present()) {
+		d.removeLocked(now, id, previous.service)
+		gone = previous.address
+	}
+	if !m.State.Present() || service == "" {
+		return gone
+	}
+	d.endpoints[id] = endpoint{m.Meta.PeerAddr.String(), service}
+	d.tableLocked(service).Update(now, routing.Member{
+		ID: id, FailureDomain: m.Meta.FailureDomain, State: routingState(m.Meta.TargetState), Slots: int(m.Meta.Slots),
+	})
+	return ""
+}
+
+// removeLocked forgets a target, and its service's table with the last one.
+func (d *Directory) removeLocked(now time.Time, id routing.TargetID, service string) {
+	delete(d.endpoints, id)
+	table := d.tables[service]
+	table.Remove(now, id)
+	if len(table.Snapshot(now)) == 0 {
+		delete(d.tables, service)
+	}
+}
+
+func (d *Directory) tableLocked(service string) *routing.Table {
+	t := d.tables[service]
+	if t == nil {
+		t = routing.NewTable(routing.Options{Node: d.self})
+		d.tables[service] = t
+	}
+	return t
+}
+
+// Pick chooses a target, records the start of a call to it and returns it with
+// its node's peer address.
+func (d *Directory) Pick(now time.Time, service string, in routing.PickInput) (routing.TargetID, string, *kind.Error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	table := d.tables[service]
+	if table == nil {
+		return "", "", kind.Newf(kind.NoTarget, "no target of %s is known", service)
+	}
+	in.FailureDomain = d.failureDomain
+	id, err := table.Pick(d.rng, now, in)
+	if err != nil {
+		return "", "", kind.Of(err)
+	}
+	table.StartClass(now, id, in.Importance)
+	return id, d.endpoints[id].address, nil
+}
+
+// Done records the end of a call that Pick started.
+func (d *Directory) Done(now time.Time, service string, id routing.TargetID, result routing.Result) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if table := d.tables[service]; table != nil {
+		table.Done(now, id, result)
+	}
+}
+
+// Address returns the peer address of a target's node.
+func (d *Directory) Address(id routing.TargetID) (string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.endpoints[id]
+	return e.address, ok
+}
+
+// Snapshot returns the view of all services for a state dump.
+func (d *Directory) Snapshot(now time.Time) map[string][]routing.TargetStatus {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := make(map[string][]routing.TargetStatus, len(d.tables))
+	for name, t := range d.tables {
+		all[name] = t.Snapshot(now)
+	}
+	return all
+}
+
+func routingState(s membership.TargetState) routing.State {
+	switch s {
+	case membership.Starting:
+		return routing.Starting
+	case membership.Ready:
+		return routing.Ready
+	case membership.Draining:
+		return routing.Draining
+	default:
+		return routing.Down
+	}
+}
+
+// Ready returns the number of targets that may get new work.
+func (d *Directory) Ready(now time.Time) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	total := 0
+	for _, t := range d.tables {
+		total += t.Usable(now)
+	}
+	return total
+}
+
+// ServiceOf returns the name under which a member's target is found, or "" when
+// it has not announced itself.
+func ServiceOf(m membership.Meta) string {
+	if m.Service == "" || m.Customer == "" {
+		return m.Service
+	}
+	return m.Service + "." + m.Customer
+}
--- a/node/gate.go
+++ b/gate/gate.go
@@ -1,4 +1,6 @@
-package node
+// Package gate runs the admission queue and the concurrency limit of one target
+// behind a lock and a timer.
+package gate
 
 import (
 	"context"
@@ -8,7 +10,7 @@
 	"github.com/goldcrestsail/goldcrestsail/admission"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/limit"
-	"github.com/goldcrestsail/goldcrestsail/peerrpc"
+	"github.com/goldcrestsail/goldcrestsail/message"
 	"github.com/goldcrestsail/goldcrestsail/policy"
 )
 
@@ -17,9 +19,9 @@
 // the bound every request would be refused, and none could correct it.
 const maxServiceShare = 2
 
-// gate runs the admission queue and the concurrency limit of the target beside
+// Gate runs the admission queue and the concurrency limit of the target beside
 // the node. It is safe for concurrent use.
-type gate struct {
+type Gate struct {
 	mu      sync.Mutex
 	queue   *admission.Queue
 	limiter *limit.Limiter
@@ -31,11 +33,11 @@
 	byImportance [policy.MaxImportance + 1]uint32
 	nextID       admission.ID
 	timer        *time.Timer
-	policy       *policy.Policy
 }
 
-func newGate(now time.Time) *gate {
-	g := &gate{
+// New returns a gate with one slot.
+func New(now time.Time) *Gate {
+	g := &Gate{
 		limiter:    limit.New(limit.Config{Slots: 1, MinLimit: 1}, now),
 		waiting:    map[admission.ID]chan admission.Decision{},
 		importance: map[admission.ID]int{},
@@ -45,38 +47,33 @@
 	return g
 }
 
-// configure applies a policy and the slots that the target announced.
-func (g *gate) configure(now time.Time, p *policy.Policy, announcedSlots int) {
-	slots := min(p.Slots, p.Connections)
-	if announcedSlots > 0 {
-		slots = min(slots, announcedSlots)
-	}
+// Configure replaces the bounds.
+func (g *Gate) Configure(now time.Time, c Config) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.policy = p
-	g.limiter.Configure(now, limit.Config{Slots: slots, MinLimit: p.MinLimit, ColdStart: p.ColdStart})
-	g.settleLocked(now, g.queue.Configure(now, admission.Config{QueueTimeout: p.QueueTimeout}))
+	g.limiter.Configure(now, limit.Config{Slots: c.Slots, MinLimit: c.MinLimit, ColdStart: c.ColdStart})
+	g.settleLocked(now, g.queue.Configure(now, admission.Config{QueueTimeout: c.QueueTimeout}))
 	g.settleLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
 }
 
-// targetStarted begins the cold start ramp.
-func (g *gate) targetStarted(now time.Time) {
+// TargetStarted begins the cold start ramp.
+func (g *Gate) TargetStarted(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limiter.TargetStarted(now)
 	g.settleLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
 }
 
-// reported applies what the target says about its own capacity.
-func (g *gate) reported(now time.Time, r limit.Report) {
+// Reported applies what the target says about its own capacity.
+func (g *Gate) Reported(now time.Time, r limit.Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limiter.ObserveReport(now, r)
 	g.settleLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
 }
 
-// acquire waits for a slot. The error has run state not-run.
-func (g *gate) acquire(ctx context.Context, rank admission.Rank, deadline time.Time) (admission.ID, *kind.Error) {
+// Acquire waits for a slot. The error has run state not-run.
+func (g *Gate) Acquire(ctx context.Context, rank admission.Rank, deadline time.Time) (admission.ID, *kind.Error) {
 	now := time.Now()
 	decided := make(chan admission.Decision, 1)
 	g.mu.Lock()
@@ -100,7 +97,7 @@
 }
 
 // cancel withdraws a request, whether it still waits or has just got a slot.
-func (g *gate) cancel(id admission.ID) {
+func (g *Gate) cancel(id admission.ID) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -109,9 +106,9 @@
 	g.settleLocked(now, g.queue.Cancel(now, id))
 }
 
-// release gives a slot back and records how the request went; a nil sample
+// Release gives a slot back and records how the request went; a nil sample
 // records nothing.
-func (g *gate) release(id admission.ID, sample *limit.Sample) {
+func (g *Gate) Release(id admission.ID, sample *limit.Sample) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -125,23 +122,23 @@
 }
 
 // forgetLocked takes a request that neither waits nor runs out of the counts.
-func (g *gate) forgetLocked(id admission.ID) {
+func (g *Gate) forgetLocked(id admission.ID) {
 	if importance, ok := g.importance[id]; ok {
 		g.byImportance[importance]--
 		delete(g.importance, id)
 	}
 }
 
-// stats returns the state of the queue and of the limiter.
-func (g *gate) stats() (admission.Stats, limit.State) {
+// Stats returns the state of the queue and of the limiter.
+func (g *Gate) Stats() (admission.Stats, limit.State) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.queue.Stats(now), g.limiter.State()
 }
 
-// load returns the load that is reported to callers.
-func (g *gate) load() *peerrpc.Load {
+// Load returns the load that is reported to callers.
+func (g *Gate) Load() *message.Load {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -150,15 +147,22 @@
 	for reported > 0 && g.byImportance[reported-1] == 0 {
 		reported--
 	}
-	return &peerrpc.Load{
-		InFlight: uint32(stats.Running), Waiting: uint32(stats.Waiting), Limit: uint32(stats.Limit),
-		AdmissionLevel: uint32(stats.Level), ServiceTimeMicros: g.limiter.ServiceTime().Microseconds(),
+	return &message.Load{
+		Running: uint32(stats.Running), Waiting: uint32(stats.Waiting), Limit: uint32(stats.Limit),
+		Level: uint32(stats.Level), ServiceTime: g.limiter.ServiceTime(),
 		ByImportance: append([]uint32(nil), g.byImportance[:reported]...),
 	}
 }
 
+// Level returns the admission level.
+func (g *Gate) Level() admission.Rank {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Level(time.Now())
+}
+
 // tick runs the time-driven parts of queue and limiter.
-func (g *gate) tick() {
+func (g *Gate) tick() {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -170,7 +174,7 @@
 
 // settleLocked hands decisions to the requests that wait for them and sets the
 // timer for the next expiry.
-func (g *gate) settleLocked(now time.Time, decisions []admission.Decision) {
+func (g *Gate) settleLocked(now time.Time, decisions []admission.Decision) {
 	for _, d := range decisions {
 		if decided := g.waiting[d.ID]; decided != nil {
 			decided <- d
@@ -185,4 +189,5 @@
 	}
 }
 
-func (g *gate) close() { g.timer.Stop() }
+// Close stops the timer.
+func (g *Gate) Close() { g.timer.Stop() }
--- a/node/gate_test.go
+++ b/gate/gate_test.go
@@ -1,4 +1,4 @@
-package node
+package gate
 
 import (
 	"context"
@@ -9,19 +9,18 @@
 
 	"github.com/goldcrestsail/goldcrestsail/admission"
 	"github.com/goldcrestsail/goldcrestsail/limit"
-	"github.com/goldcrestsail/goldcrestsail/policy"
 )
 
 // Guards against a target that gets no work any more after timeouts, because
 // the expected service time has reached the deadline of every request.
 func TestIdleTargetGetsWorkAfterTimeouts(t *testing.T) {
-	g := newGate(time.Now())
-	defer g.close()
-	g.configure(time.Now(), &policy.Policy{Slots: 1, Connections: 1, MinLimit: 1, QueueTimeout: time.Second}, 1)
+	g := New(time.Now())
+	defer g.Close()
+	g.Configure(time.Now(), Config{Slots: 1, MinLimit: 1, QueueTimeout: time.Second})
 	const timeout = time.Minute
 	for range 100 {
-		id, failure := g.acquire(context.Background(), admission.Rank(0), time.Now().Add(timeout))
+		id, failure := g.Acquire(context.Background(), admission.Rank(0), time.Now().Add(timeout))
 		require.Nil(t, failure)
-		g.release(id, &limit.Sample{Latency: timeout, Total: timeout, TimedOut: true})
+		g.Release(id, &limit.Sample{Latency: timeout, Total: timeout, TimedOut: true})
 	}
 }
--- a/gossip/transport.go
+++ b/gossip/transport.go
@@ -185,6 +185,9 @@
 // UpdateMeta replaces the metadata of this process.
 func (t *Transport) UpdateMeta(m membership.Meta) { t.local(membership.LocalUpdate{Meta: m}) }
 
+// AddSeeds adds addresses to join through.
+func (t *Transport) AddSeeds(addrs []netip.AddrPort) { t.local(membership.AddSeeds{Addrs: addrs}) }
+
 // SetConfigOffset sets the configuration offset in the headers of this process.
 func (t *Transport) SetConfigOffset(offset uint64) {
 	t.local(membership.SetConfigOffset{Offset: offset})
--- a/membership/event.go
+++ b/membership/event.go
@@ -3,7 +3,7 @@
 import "net/netip"
 
 // Event is an input of Node.Step: Tick, Datagram, LocalUpdate, Leave,
-// SetConfigOffset or LocalBroadcast.
+// SetConfigOffset, LocalBroadcast or AddSeeds.
 type Event interface{ event() }
 
 // Tick lets the node run its timers. Ticks that come early do no harm.
@@ -31,9 +31,14 @@
 // breaks the bounds of Broadcast is dropped and counted in Stats.
 type LocalBroadcast struct{ Broadcast Broadcast }
 
+// AddSeeds adds addresses to join through, such as those found after the start,
+// and tries one of them at once.
+type AddSeeds struct{ Addrs []netip.AddrPort }
+
 func (Tick) event()            {}
 func (Datagram) event()        {}
 func (LocalUpdate) event()     {}
 func (Leave) event()           {}
 func (SetConfigOffset) event() {}
 func (LocalBroadcast) event()  {}
+func (AddSeeds) event()        {}
--- a/membership/node.go
+++ b/membership/node.go
@@ -148,6 +148,8 @@
 		n.setOffset(in.Offset)
 	case LocalBroadcast:
 		n.addMessage(in.Broadcast)
+	case AddSeeds:
+		n.addSeeds(in.Addrs)
 	}
 	n.runTimers()
 	out := n.effects
--- a/membership/timers.go
+++ b/membership/timers.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -188,3 +190,20 @@
 	n.seq++
 	n.ping(addr, nil, n.seq)
 }
+
+// maxSeeds bounds the seeds of a node. The newest ones are kept, because older
+// addresses are the more likely ones to be gone.
+const maxSeeds = 256
+
+// addSeeds remembers further addresses to join through.
+func (n *Node) addSeeds(addrs []netip.AddrPort) {
+	for _, addr := range addrs {
+		if addr = unmapAddrPort(addr); addr != n.self.Addr && !slices.Contains(n.cfg.Seeds, addr) {
+			n.cfg.Seeds = append(n.cfg.Seeds, addr)
+			n.nextDeadProbe = n.now
+		}
+	}
+	if extra := len(n.cfg.Seeds) - maxSeeds; extra > 0 {
+		n.cfg.Seeds = slices.Clone(n.cfg.Seeds[extra:])
+	}
+}
--- a/node/claims_test.go
+++ b/node/claims_test.go
@@ -46,9 +46,7 @@
 	lowest := admission.MakeRank(0, false, admission.ChainLevels-1)
 	require.Eventually(t, func() bool {
 		f.call(n, http.MethodPost, "front", "/pay/2", chainhttp.HeaderKey, uuid.Must(uuid.NewV7()).String())
-		n.gate.mu.Lock()
-		defer n.gate.mu.Unlock()
-		return lowest.RefusedAt(n.gate.queue.Level(time.Now()))
+		return lowest.RefusedAt(n.gate.Level())
 	}, eventually, time.Millisecond)
 	for range 20 {
 		r := f.call(n, http.MethodPost, "front", "/pay/1", chainhttp.HeaderKey, key)
--- a/node/drain.go
+++ b/node/drain.go
@@ -86,7 +86,7 @@
 	n.gossip.Close()
 	n.guards.close()
 	n.configuration.close()
-	n.gate.close()
+	n.gate.Close()
 	n.target.close()
 	n.peers.close()
 	close(n.closed)
--- a/node/dump.go
+++ b/node/dump.go
@@ -10,7 +10,7 @@
 // Dump returns the state of the node by section, for operators.
 func (n *Node) Dump() map[string]any {
 	announcement, state := n.target.current()
-	queue, limits := n.gate.stats()
+	queue, limits := n.gate.Stats()
 	configState := n.configState()
 	n.guards.mu.Lock()
 	claimed := map[string]any{}
@@ -30,7 +30,7 @@
 		"target":  map[string]any{"announcement": announcement, "state": state},
 		"members": n.gossip.Members(),
 		"gossip":  n.gossip.Stats(),
-		"routes":  n.router.snapshot(time.Now()),
+		"routes":  n.router.Snapshot(time.Now()),
 		"queue":   queue,
 		"limit":   limits,
 		"chains":  map[string]any{"running": running},
--- a/node/entry.go
+++ b/node/entry.go
@@ -142,7 +142,7 @@
 		return nil
 	}
 	q.pinned = routing.TargetID(owner.String())
-	if _, ok := n.router.address(q.pinned); !ok {
+	if _, ok := n.router.Address(q.pinned); !ok {
 		return kind.New(kind.ClaimLost, "the process that issued the key is gone")
 	}
 	return nil
--- a/node/execute.go
+++ b/node/execute.go
@@ -62,7 +62,7 @@
 	if x.call.NonIdempotent {
 		return n.runOnce(ctx, x)
 	}
-	id, failure := n.gate.acquire(ctx, x.rank, x.deadline)
+	id, failure := n.gate.Acquire(ctx, x.rank, x.deadline)
 	if failure != nil {
 		return nil, failure
 	}
@@ -113,7 +113,7 @@
 		return replayed(verdict.Response)
 	}
 	x.token = verdict.Token
-	id, failure := n.gate.acquire(ctx, x.rank, x.deadline)
+	id, failure := n.gate.Acquire(ctx, x.rank, x.deadline)
 	if failure != nil {
 		x.token.Release()
 		return nil, failure
@@ -163,14 +163,14 @@
 		Depth: int(call.Depth), Path: call.PathServices, Allowance: int(call.Allowance),
 	}
 	if failure := n.chains.enter(time.Now(), token, entry, x.policy.MaxDepth); failure != nil {
-		n.gate.release(id, nil)
+		n.gate.Release(id, nil)
 		x.release()
 		return nil, failure
 	}
 	response, failure := n.send(ctx, x, token)
 	summary := n.chains.leave(time.Now(), token)
 	x.unused, x.visited = summary.Unused, summary.Visited
-	n.gate.release(id, sampleOf(summary, failure))
+	n.gate.Release(id, sampleOf(summary, failure))
 	x.settle(response, failure)
 	if failure != nil {
 		return nil, failure
@@ -263,7 +263,10 @@
 // load returns the load of the target as this node sees it.
 func (n *Node) load() *peerrpc.Load {
 	_, state := n.target.current()
-	load := n.gate.load()
-	load.Draining = n.draining.Load() || state == Draining
-	return load
+	load := n.gate.Load()
+	return &peerrpc.Load{
+		InFlight: load.Running, Waiting: load.Waiting, Limit: load.Limit, AdmissionLevel: load.Level,
+		ServiceTimeMicros: load.ServiceTime.Microseconds(), ByImportance: load.ByImportance,
+		Draining: n.draining.Load() || state == Draining,
+	}
 }
--- a/node/forward.go
+++ b/node/forward.go
@@ -85,7 +85,7 @@
 	call := f.callRequest(id, allowance, start)
 	response, failure := n.invoke(ctx, id, address, call)
 	now := time.Now()
-	n.router.done(now, q.name, id, resultOf(q.importance, now.Sub(start), response, failure))
+	n.router.Done(now, q.name.String(), id, resultOf(q.importance, now.Sub(start), response, failure))
 	if response != nil {
 		n.observeLevels(q.name.String(), id, response, now)
 	}
@@ -109,12 +109,12 @@
 			in.Designated = q.fingerprint
 		}
 	}
-	id, address, failure := n.router.pick(now, q.name, in)
+	id, address, failure := n.router.Pick(now, q.name.String(), in)
 	if failure != nil && failure.Kind == kind.NoTarget && len(f.tried) > 0 {
 		// Every target was tried: the one that was lost first may be reachable
 		// on a new connection.
 		in.Exclude = nil
-		return n.router.pick(now, q.name, in)
+		return n.router.Pick(now, q.name.String(), in)
 	}
 	return id, address, failure
 }
--- a/node/guards.go
+++ b/node/guards.go
@@ -112,7 +112,7 @@
 
 // AskOutcome implements claims.OutcomeAsker.
 func (a *outcomeAsker) AskOutcome(ctx context.Context, owner idempotency.ProcessID, ref []byte, wait time.Duration) (idempotency.Outcome, error) {
-	address, ok := a.node.router.address(routing.TargetID(uuid.UUID(owner).String()))
+	address, ok := a.node.router.Address(routing.TargetID(uuid.UUID(owner).String()))
 	if !ok {
 		return idempotency.Outcome{}, kind.New(kind.PeerLost, "the owner of the claim is not a member")
 	}
--- a/node/keys.go
+++ b/node/keys.go
@@ -65,7 +65,7 @@
 		}
 	}
 	start := time.Now()
-	id, address, failure := n.router.pick(start, name, routing.PickInput{})
+	id, address, failure := n.router.Pick(start, name.String(), routing.PickInput{})
 	if failure != nil {
 		return nil, failure
 	}
@@ -80,7 +80,7 @@
 	if failure != nil {
 		result = routing.Result{Kind: failure.Kind}
 	}
-	n.router.done(time.Now(), name, id, result)
+	n.router.Done(time.Now(), name.String(), id, result)
 	if failure != nil {
 		// A key that was issued and lost on the way is never used.
 		return nil, failure.WithRun(kind.NotRun)
--- a/node/members.go
+++ b/node/members.go
@@ -66,7 +66,7 @@
 // MemberChanged implements gossip.Delegate.
 func (d *delegate) MemberChanged(m membership.Member) {
 	n := d.node
-	gone := n.router.update(time.Now(), m)
+	gone := n.router.Update(time.Now(), m)
 	if !m.State.Present() {
 		// A peer that never announced a service may have served a pull.
 		gone = m.Meta.PeerAddr.String()
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -26,11 +26,11 @@
 		retries:    set.NewCounter("goldcrestsail_retries_total"),
 		mismatched: set.NewCounter("goldcrestsail_mismatched_responses_total"),
 	}
-	set.NewGauge("goldcrestsail_target_in_flight", func() float64 { s, _ := n.gate.stats(); return float64(s.Running) })
-	set.NewGauge("goldcrestsail_target_waiting", func() float64 { s, _ := n.gate.stats(); return float64(s.Waiting) })
-	set.NewGauge("goldcrestsail_target_limit", func() float64 { s, _ := n.gate.stats(); return float64(s.Limit) })
-	set.NewGauge("goldcrestsail_admission_level", func() float64 { s, _ := n.gate.stats(); return float64(s.Level) })
-	set.NewGauge("goldcrestsail_target_service_time_seconds", func() float64 { _, l := n.gate.stats(); return l.ServiceTime.Seconds() })
+	set.NewGauge("goldcrestsail_target_in_flight", func() float64 { s, _ := n.gate.Stats(); return float64(s.Running) })
+	set.NewGauge("goldcrestsail_target_waiting", func() float64 { s, _ := n.gate.Stats(); return float64(s.Waiting) })
+	set.NewGauge("goldcrestsail_target_limit", func() float64 { s, _ := n.gate.Stats(); return float64(s.Limit) })
+	set.NewGauge("goldcrestsail_admission_level", func() float64 { s, _ := n.gate.Stats(); return float64(s.Level) })
+	set.NewGauge("goldcrestsail_target_service_time_seconds", func() float64 { _, l := n.gate.Stats(); return l.ServiceTime.Seconds() })
 	set.NewGauge("goldcrestsail_chains", func() float64 { return float64(n.chains.len()) })
 	set.NewGauge("goldcrestsail_members", func() float64 { return float64(len(n.gossip.Members())) })
 	set.NewGauge("goldcrestsail_config_offset", func() float64 { return float64(n.configState().Offset()) })
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,8 @@
 
 	"github.com/goldcrestsail/goldcrestsail/chain"
 	"github.com/goldcrestsail/goldcrestsail/configlog"
+	"github.com/goldcrestsail/goldcrestsail/directory"
+	"github.com/goldcrestsail/goldcrestsail/gate"
 	"github.com/goldcrestsail/goldcrestsail/gossip"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/peerrpc"
@@ -32,10 +34,10 @@
 
 	configuration *configuration
 	gossip        *gossip.Transport
-	router        *router
+	router        *directory.Directory
 	peers         *peers
 	target        *localTarget
-	gate          *gate
+	gate          *gate.Gate
 	chains        *chains
 	guards        *guards
 	budgets       *budgets
@@ -78,11 +80,11 @@
 		seed = rand.Uint64()
 	}
 	n := &Node{
-		id: uuid.New(), config: config, peers: newPeers(), target: newLocalTarget(), gate: newGate(time.Now()),
+		id: uuid.New(), config: config, peers: newPeers(), target: newLocalTarget(), gate: gate.New(time.Now()),
 		chains: &chains{table: chain.NewTable(chain.Config{})}, budgets: newBudgets(), closed: make(chan struct{}),
 	}
 	n.log = config.Logger.With("node", n.id.String())
-	n.router = newRouter(n.id.String(), config.FailureDomain, rand.New(rand.NewPCG(seed, 1)))
+	n.router = directory.New(n.id.String(), config.FailureDomain, rand.New(rand.NewPCG(seed, 1)))
 	n.shed.rng = rand.New(rand.NewPCG(seed, 2))
 	n.shed.table = shedding.NewTable(shedding.Config{Protected: protectedImportances})
 	n.guards = newGuards(n)
@@ -194,5 +196,5 @@
 	if len(n.configState().Policies()) == 0 {
 		return 0
 	}
-	return n.router.ready(time.Now())
+	return n.router.Ready(time.Now())
 }
--- a/node/target_side.go
+++ b/node/target_side.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/goldcrestsail/goldcrestsail/gate"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/limit"
 	"github.com/goldcrestsail/goldcrestsail/policy"
@@ -66,9 +67,9 @@
 	}
 	n.applyPolicy()
 	if started {
-		n.gate.targetStarted(now)
+		n.gate.TargetStarted(now)
 	}
-	n.gate.reported(now, limit.Report{Healthy: true, Capacity: a.Capacity})
+	n.gate.Reported(now, limit.Report{Healthy: true, Capacity: a.Capacity})
 	n.gossip.UpdateMeta(n.meta())
 	n.log.Info("target announced", "service", a.service().String(), "address", a.Address, "slots", a.Slots, "state", a.State)
 }
@@ -82,7 +83,11 @@
 		return
 	}
 	n.applied.Store(p)
-	n.gate.configure(time.Now(), p, a.Slots)
+	slots := min(p.Slots, p.Connections)
+	if a.Slots > 0 {
+		slots = min(slots, a.Slots)
+	}
+	n.gate.Configure(time.Now(), gate.Config{Slots: slots, MinLimit: p.MinLimit, ColdStart: p.ColdStart, QueueTimeout: p.QueueTimeout})
 	n.guards.ensure(p)
 }
 
