--- /dev/null
+++ b/httpconn/server.go
@@ -0,0 +1,113 @@
+package httpconn
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/message"
+	"github.com/goldcrestsail/goldcrestsail/routetable"
+)
+
+// Handler answers one request. The context ends when the caller's connection
+// does.
+type Handler func(ctx context.Context, r *message.Request) *message.Response
+
+// Server accepts callers' connections. Its fields are set before Serve.
+type Server struct {
+	Names  HeaderNames
+	Handle Handler
+	// Limits returns the bounds in force.
+	Limits func() routetable.Limits
+	// DefaultTimeout is the time left of a request that states none.
+	DefaultTimeout time.Duration
+	// Malformed is called for each request that was rejected as malformed.
+	Malformed func(remote string, err error)
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*serverConn]struct{}
+	draining bool
+}
+
+// Serve accepts connections until Stop.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listener = l
+	s.conns = map[*serverConn]struct{}{}
+	s.mu.Unlock()
+	for {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// Descriptors may be used up for the moment.
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		c := newServerConn(s, nc)
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		go c.run()
+	}
+}
+
+// Drain makes every response from now on the last one of its connection.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+}
+
+// CloseIdle ends the connections on which no request is in progress.
+func (s *Server) CloseIdle() {
+	for _, c := range s.list() {
+		c.closeIfIdle()
+	}
+}
+
+// Stop closes the listener and all connections.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	l := s.listener
+	s.mu.Unlock()
+	if l != nil {
+		_ = l.Close()
+	}
+	for _, c := range s.list() {
+		_ = c.nc.Close()
+	}
+}
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+func (s *Server) list() []*serverConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*serverConn, 0, len(s.conns))
+	for c := range s.conns {
+		all = append(all, c)
+	}
+	return all
+}
+
+func (s *Server) remove(c *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
--- /dev/null
+++ b/httpconn/server_conn.go
@@ -0,0 +1,297 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/message"
+)
+
+const (
+	// acceptRetryDelay keeps a persistent accept error from taking a whole core.
+	acceptRetryDelay = 10 * time.Millisecond
+	// maxPipelined bounds the requests of one connection in progress. Clients
+	// that pipeline send a handful.
+	maxPipelined = 32
+	// defaultHeaderBytes, defaultBodyBytes, defaultHeaderTimeout and
+	// defaultIdleTimeout hold until a configuration states other bounds.
+	defaultHeaderBytes   = 64 << 10
+	defaultBodyBytes     = 64 << 20
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = time.Minute
+	// bodyTimeout bounds how long a caller takes to send a body.
+	bodyTimeout = 30 * time.Second
+	// writeTimeout is how long a caller may leave a response unread.
+	writeTimeout = 15 * time.Second
+	// readBuffer holds most requests whole.
+	readBuffer = 4 << 10
+	// lingerTime is how long a connection that the server ends is read on, so
+	// that bytes that cross the end do not reset it before the caller has read
+	// the last response.
+	lingerTime = 500 * time.Millisecond
+)
+
+var errTooLarge = errors.New("request exceeds the bound on its size")
+
+// serverConn is one connection of a caller. A reader goroutine starts the
+// requests, and a writer goroutine sends the responses in their order.
+type serverConn struct {
+	server *Server
+	nc     net.Conn
+	in     *io.LimitedReader
+	br     *bufio.Reader
+	ctx    context.Context
+	cancel context.CancelFunc
+	// queue holds the exchanges in progress, in the order of the requests.
+	queue    chan *exchange
+	inFlight atomic.Int32
+}
+
+func newServerConn(s *Server, nc net.Conn) *serverConn {
+	c := &serverConn{server: s, nc: nc, in: &io.LimitedReader{R: nc}, queue: make(chan *exchange, maxPipelined)}
+	c.br = bufio.NewReaderSize(c.in, readBuffer)
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c
+}
+
+func (c *serverConn) run() {
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		c.write()
+	}()
+	ended := c.read()
+	close(c.queue)
+	if !ended {
+		// The last request is in progress; the caller may still leave.
+		go c.watch()
+	}
+	<-written
+	c.cancel()
+	if !ended {
+		c.linger()
+	}
+	_ = c.nc.Close()
+	c.server.remove(c)
+}
+
+// read starts requests until the connection ends, then returns true, or until
+// the one that is to be the last, then returns false.
+func (c *serverConn) read() (ended bool) {
+	for {
+		limits := c.server.Limits()
+		c.in.N = int64(orDefault(limits.HeaderBytes, defaultHeaderBytes) + readBuffer)
+		idle := orDefault(limits.IdleTimeout, defaultIdleTimeout)
+		if !c.awaitRequest(idle) {
+			c.cancel()
+			return true
+		}
+		_ = c.nc.SetReadDeadline(time.Now().Add(orDefault(limits.HeaderTimeout, defaultHeaderTimeout)))
+		request, status, err := c.readRequest(orDefault(limits.BodyBytes, defaultBodyBytes))
+		x := &exchange{done: make(chan struct{})}
+		if err != nil {
+			if status == 0 {
+				c.cancel()
+				return true
+			}
+			if c.server.Malformed != nil {
+				c.server.Malformed(c.nc.RemoteAddr().String(), err)
+			}
+			x.response, x.last = &message.Response{Status: status}, true
+			close(x.done)
+			c.queue <- x
+			return false
+		}
+		_ = c.nc.SetReadDeadline(time.Time{})
+		x.requestID = request.id
+		x.last = request.close || c.server.isDraining()
+		c.inFlight.Add(1)
+		c.queue <- x
+		go func() {
+			x.response = c.server.Handle(c.ctx, request.message)
+			close(x.done)
+		}()
+		if x.last {
+			return false
+		}
+	}
+}
+
+// awaitRequest waits for the first byte of the next request. A connection is
+// idle only while no request of it is in progress.
+func (c *serverConn) awaitRequest(idle time.Duration) bool {
+	for {
+		if c.br.Buffered() > 0 {
+			return true
+		}
+		_ = c.nc.SetReadDeadline(time.Now().Add(idle))
+		_, err := c.br.Peek(1)
+		if err == nil {
+			return true
+		}
+		var timeout net.Error
+		if !errors.As(err, &timeout) || !timeout.Timeout() || c.inFlight.Load() == 0 {
+			return false
+		}
+	}
+}
+
+// watch notices that a caller leaves while its last request is in progress.
+func (c *serverConn) watch() {
+	_ = c.nc.SetReadDeadline(time.Time{})
+	buffer := make([]byte, 512)
+	for {
+		if _, err := c.nc.Read(buffer); err != nil {
+			c.cancel()
+			return
+		}
+	}
+}
+
+// linger ends the sending side first.
+func (c *serverConn) linger() {
+	if tcp, ok := c.nc.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	select {
+	case <-c.ctx.Done():
+	case <-time.After(lingerTime):
+	}
+}
+
+// closeIfIdle ends the connection if no request is in progress.
+func (c *serverConn) closeIfIdle() {
+	if c.inFlight.Load() == 0 {
+		_ = c.nc.SetReadDeadline(time.Now())
+	}
+}
+
+// parsed is a request with what concerns its connection.
+type parsed struct {
+	message *message.Request
+	id      string
+	close   bool
+}
+
+// readRequest reads one request. A status of 0 means that the connection ended.
+func (c *serverConn) readRequest(maxBody int) (*parsed, int, error) {
+	r, err := http.ReadRequest(c.br)
+	if err != nil {
+		if c.in.N <= 0 {
+			return nil, http.StatusRequestHeaderFieldsTooLarge, errTooLarge
+		}
+		var network net.Error
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) {
+			return nil, 0, err
+		}
+		return nil, http.StatusBadRequest, err
+	}
+	c.in.N = int64(maxBody) + readBuffer
+	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	if r.Header.Get("Expect") == "100-continue" && c.inFlight.Load() == 0 {
+		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, 0, err
+		}
+	}
+	var body []byte
+	if r.Body != nil && r.Body != http.NoBody {
+		body, err = io.ReadAll(io.LimitReader(r.Body, int64(maxBody)+1))
+		if len(body) > maxBody {
+			return nil, http.StatusRequestEntityTooLarge, errTooLarge
+		}
+		if err != nil {
+			return nil, 0, err
+		}
+	}
+	now := time.Now()
+	names := &c.server.Names
+	left := c.server.DefaultTimeout
+	if text := r.Header.Get(names.TimeoutMS); text != "" {
+		ms, err := strconv.ParseFloat(text, 64)
+		if err != nil || ms < 0 || ms > maxTimeoutMS {
+			return nil, http.StatusBadRequest, errors.New("unreadable time left: " + strconv.Quote(text))
+		}
+		left = time.Duration(ms * float64(time.Millisecond))
+	}
+	id := r.Header.Get(names.RequestID)
+	return &parsed{
+		message: &message.Request{
+			ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: body, Arrived: now, Deadline: now.Add(left),
+			Header:     endToEnd(r.Header, names.RequestID, names.TimeoutMS, names.CallerService, names.ExpectedTarget),
+			FromTarget: sameHost(c.nc.RemoteAddr(), c.nc.LocalAddr()),
+		},
+		id:    id,
+		close: r.Close,
+	}, 0, nil
+}
+
+// maxTimeoutMS bounds the stated time left to a day.
+const maxTimeoutMS = 24 * 3600 * 1000
+
+// sameHost reports whether both ends of a connection are on one instance.
+func sameHost(a, b net.Addr) bool {
+	x, okX := a.(*net.TCPAddr)
+	y, okY := b.(*net.TCPAddr)
+	return okX && okY && (x.IP.Equal(y.IP) || x.IP.IsLoopback())
+}
+
+// write sends the responses in order until the queue is closed or the
+// connection fails.
+func (c *serverConn) write() {
+	failed := false
+	var buffer []byte
+	for x := range c.queue {
+		<-x.done
+		c.inFlight.Add(-1)
+		if failed || x.response == nil {
+			continue
+		}
+		buffer = appendResponse(buffer[:0], &c.server.Names, x)
+		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+		parts := net.Buffers{buffer, x.response.Body}
+		if _, err := parts.WriteTo(c.nc); err != nil {
+			// The caller has left, or does not read.
+			failed = true
+			c.cancel()
+			_ = c.nc.Close()
+		}
+	}
+}
+
+func appendResponse(b []byte, names *HeaderNames, x *exchange) []byte {
+	r := x.response
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(r.Status), 10)
+	b = append(b, ' ')
+	b = append(b, http.StatusText(r.Status)...)
+	b = append(b, "\r\n"...)
+	b = appendFields(b, r.Header)
+	if !r.FromTarget && x.requestID != "" {
+		b = appendField(b, names.RequestID, x.requestID)
+	}
+	if r.RetryAfter > 0 {
+		b = appendField(b, "Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	if x.last {
+		b = appendField(b, "Connection", "close")
+	}
+	if r.Status != http.StatusNoContent && r.Status != http.StatusNotModified {
+		b = appendField(b, "Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	return append(b, "\r\n"...)
+}
+
+// orDefault returns v, or the default when v is zero.
+func orDefault[T int | time.Duration](v, byDefault T) T {
+	if v <= 0 {
+		return byDefault
+	}
+	return v
+}
--- a/kind/kind.go
+++ b/kind/kind.go
@@ -22,6 +22,7 @@
 	DeadlineExpired    Kind = "deadline-expired"
 	NoTarget           Kind = "no-target"
 	Draining           Kind = "draining"
+	TargetRefused      Kind = "target-refused"
 	Starting           Kind = "starting"
 	DialFailed         Kind = "dial-failed"
 	AllowanceExhausted Kind = "allowance-exhausted"
--- a/kind/table.go
+++ b/kind/table.go
@@ -30,6 +30,7 @@
 	DeadlineExpired:    {http.StatusGatewayTimeout, false, MayHaveRun, 0, "Check the run state before repeating."},
 	NoTarget:           {http.StatusServiceUnavailable, false, NotRun, retryAfterOutage, "Repeat later; no target of the service is ready."},
 	Draining:           {http.StatusServiceUnavailable, true, NotRun, retryAfterOverload, "Repeat; another target takes it."},
+	TargetRefused:      {http.StatusServiceUnavailable, true, NotRun, retryAfterOverload, "Repeat later; the target is full."},
 	Starting:           {http.StatusServiceUnavailable, true, NotRun, retryAfterOverload, "Repeat; the target is not ready yet."},
 	DialFailed:         {http.StatusBadGateway, true, NotRun, retryAfterOverload, "Repeat; the target could not be reached."},
 	AllowanceExhausted: {http.StatusTooManyRequests, false, NotRun, 0, "Do not repeat within this chain; its retry allowance is used up."},
--- /dev/null
+++ b/mesh/budgets.go
@@ -0,0 +1,90 @@
+package mesh
+
+import (
+	"sync"
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/retry"
+)
+
+const (
+	// budgetShare is the part of the stated ratio that first attempts earn. The
+	// sub-calls of a repeated run count as repeats of the services below, and
+	// windows slide, so a node stays well under the bound.
+	budgetShare = 0.5
+	// slackShare is the part of the stated slack that all nodes together may use
+	// at once.
+	slackShare = 0.5
+)
+
+// budgets holds this node's part of the retry budget of each service. Nodes need
+// no agreement: each has an equal part of the slack, and earns the ratio with
+// its own requests.
+type budgets struct {
+	mu       sync.Mutex
+	config   BudgetConfig
+	nodes    int
+	services map[string]*retry.Budget
+}
+
+func newBudgets(c BudgetConfig) *budgets {
+	return &budgets{config: c, nodes: 1, services: map[string]*retry.Budget{}}
+}
+
+func (b *budgets) parts() retry.BudgetConfig {
+	slack := b.config.Slack * slackShare / float64(max(b.nodes, 1))
+	c := retry.BudgetConfig{Ratio: b.config.Ratio * budgetShare, Burst: max(slack/2, 1)}
+	if b.config.Window > 0 {
+		c.MinRatePerSecond = slack / 2 / b.config.Window.Seconds()
+	}
+	return c
+}
+
+// configure replaces the bounds of all nodes together.
+func (b *budgets) configure(now time.Time, c BudgetConfig) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c == b.config {
+		return
+	}
+	b.config = c
+	for _, s := range b.services {
+		s.Configure(b.parts(), now)
+	}
+}
+
+// resize splits the slack among another number of nodes.
+func (b *budgets) resize(now time.Time, nodes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if nodes == b.nodes {
+		return
+	}
+	b.nodes = nodes
+	for _, s := range b.services {
+		s.Configure(b.parts(), now)
+	}
+}
+
+func (b *budgets) ofLocked(now time.Time, service string) *retry.Budget {
+	s := b.services[service]
+	if s == nil {
+		s = retry.NewBudget(b.parts(), now)
+		b.services[service] = s
+	}
+	return s
+}
+
+// attempt records a first attempt.
+func (b *budgets) attempt(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ofLocked(now, service).Attempt(now)
+}
+
+// take reports whether a request may be repeated, and pays for it if so.
+func (b *budgets) take(now time.Time, service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ofLocked(now, service).Retry(now)
+}
--- /dev/null
+++ b/mesh/config.go
@@ -0,0 +1,36 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestsail/goldcrestsail/httpconn"
+)
+
+// Config is what a Node needs to know when it starts.
+type Config struct {
+	// Name identifies the instance in logs.
+	Name                  string
+	FailureDomain, Region string
+	// Service is the service of the target beside the node, TargetAddress where
+	// it accepts requests.
+	Service, TargetAddress string
+	// CallerAddress takes requests of clients and of the target.
+	CallerAddress string
+	// PeerAddress takes calls of other nodes, GossipAddress is for membership.
+	PeerAddress, GossipAddress string
+	// Headers are the names of the header fields that callers and targets use.
+	Headers httpconn.HeaderNames
+	// ReportInterval is the time between two reports of a target.
+	ReportInterval time.Duration
+	// Grace is the time from the signal to stop to the end of the process.
+	Grace time.Duration
+	// Budget bounds the repeated requests of all nodes together.
+	Budget BudgetConfig
+	// Seeds are gossip addresses to join through; more can be added later.
+	Seeds  []string
+	Logger hclog.Logger
+	// Seed makes random choices repeatable; 0 takes a random one.
+	Seed uint64
+}
--- /dev/null
+++ b/mesh/forward.go
@@ -0,0 +1,170 @@
+package mesh
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/admission"
+	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/message"
+	"github.com/goldcrestsail/goldcrestsail/routing"
+)
+
+const (
+	// maxUnsent bounds the attempts that reached no target, such as at nodes that
+	// have ended or refuse work.
+	maxUnsent = 4
+	// The margin between a caller's deadline and the one that the target's node
+	// is told lets the reply of that node arrive in time.
+	replyMargin = 4 * time.Millisecond
+	// minTimeLeft is the least time for which a request is sent.
+	minTimeLeft = 5 * time.Millisecond
+)
+
+// forwarding is the state of one request over its attempts.
+type forwarding struct {
+	node    *Node
+	request *request
+	tried   []routing.TargetID
+	// unsent counts the attempts that reached no target.
+	unsent int
+	// uncertain reports that an attempt may have run.
+	uncertain bool
+}
+
+// forward sends a request to a target of its service, and again to another one
+// as far as its route and the retry budget allow.
+func (n *Node) forward(ctx context.Context, q *request) *message.Reply {
+	f := &forwarding{node: n, request: q}
+	n.budgets.attempt(time.Now(), q.call.Service)
+	for {
+		reply := f.attempt(ctx)
+		if !f.again(ctx, reply) {
+			if reply.Failure != nil && f.uncertain {
+				reply.Failure.Run = kind.MayHaveRun
+			}
+			return reply
+		}
+	}
+}
+
+// attempt sends the request once.
+func (f *forwarding) attempt(ctx context.Context) *message.Reply {
+	n, call := f.node, f.request.call
+	start := time.Now()
+	if call.Deadline.Sub(start) < minTimeLeft {
+		return &message.Reply{Failure: kind.New(kind.DeadlineExpired, "no time left to send the request").WithRun(kind.NotRun)}
+	}
+	id, address, failure := f.pick(start)
+	if failure != nil {
+		return &message.Reply{Failure: failure}
+	}
+	f.tried = append(f.tried, id)
+	var reply *message.Reply
+	if id == n.selfID() {
+		reply = n.execute(ctx, call)
+	} else {
+		reply = n.callPeer(ctx, address, call)
+	}
+	now := time.Now()
+	n.directory.Done(now, call.Service, id, resultOf(int(call.Importance), now.Sub(start), reply))
+	n.observeLevels(call.Service, id, reply, now)
+	return reply
+}
+
+// callPeer sends a call to the node of another target.
+func (n *Node) callPeer(ctx context.Context, address string, call *message.Call) *message.Reply {
+	sent := *call
+	sent.Deadline = call.Deadline.Add(-replyMargin)
+	reply, failure := n.peers.Get(address).Call(ctx, &sent)
+	if failure != nil {
+		return &message.Reply{Failure: failure}
+	}
+	return reply
+}
+
+func (f *forwarding) pick(now time.Time) (routing.TargetID, string, *kind.Error) {
+	call := f.request.call
+	in := routing.PickInput{Exclude: f.tried, MayProbe: !call.Unsafe, Importance: int(call.Importance)}
+	return f.node.directory.Pick(now, call.Service, in)
+}
+
+// again reports whether the request is sent once more after a reply.
+func (f *forwarding) again(ctx context.Context, reply *message.Reply) bool {
+	q := f.request
+	failure := reply.Failure
+	if failure == nil && (reply.Response.Status < http.StatusInternalServerError || q.call.Unsafe) {
+		return false
+	}
+	if ctx.Err() != nil {
+		if failure == nil || !sendable(failure) {
+			f.uncertain = true
+		}
+		return false
+	}
+	notRun := failure != nil && sendable(failure)
+	if !notRun {
+		f.uncertain = true
+	}
+	if failure != nil && (!kind.AnswerFor(failure.Kind).Retry || failure.Kind == kind.NoTarget) {
+		return false
+	}
+	if !notRun && q.call.Unsafe {
+		return false
+	}
+	if failure != nil && notRun && !reachedTarget(failure) {
+		f.unsent++
+		return f.unsent < maxUnsent && !overloaded(failure)
+	}
+	q.attempts++
+	if q.attempts >= max(q.route.MaxAttempts, 1) || time.Until(q.call.Deadline) < minTimeLeft {
+		return false
+	}
+	return f.node.budgets.take(time.Now(), q.call.Service)
+}
+
+// reachedTarget reports whether an attempt that did not run arrived at a target
+// all the same, which counts against the retry budget.
+func reachedTarget(f *kind.Error) bool { return f.Kind == kind.TargetRefused }
+
+// overloaded reports a refusal that another target would repeat: routing has
+// already chosen the target with the most room.
+func overloaded(f *kind.Error) bool { return f.Kind == kind.Shed || f.Kind == kind.QueueTimeout }
+
+// observeLevels records the admission levels that came with a reply.
+func (n *Node) observeLevels(service string, id routing.TargetID, reply *message.Reply, now time.Time) {
+	if reply.Load == nil && len(reply.Levels) == 0 {
+		return
+	}
+	n.shed.mu.Lock()
+	defer n.shed.mu.Unlock()
+	if reply.Load != nil {
+		n.shed.table.Observe(service, string(id), admission.Rank(reply.Load.Level), now)
+	}
+	for _, l := range reply.Levels {
+		n.shed.table.Observe(l.Service, string(id), admission.Rank(l.Level), now.Add(-l.Age))
+	}
+}
+
+// resultOf returns what routing learns from a reply.
+func resultOf(importance int, latency time.Duration, reply *message.Reply) routing.Result {
+	result := routing.Result{Importance: importance, Latency: latency}
+	if reply.Failure != nil {
+		result.Kind = reply.Failure.Kind
+	}
+	if reply.Response != nil {
+		result.Responded, result.Status = true, reply.Response.Status
+	}
+	if load := reply.Load; load != nil {
+		result.Responded = true
+		result.Load = &routing.Load{
+			InFlight: int(load.Running), Waiting: int(load.Waiting), Limit: int(load.Limit), ServiceTime: load.ServiceTime,
+			Draining: reply.Failure != nil && reply.Failure.Kind == kind.Draining,
+		}
+		for _, count := range load.ByImportance {
+			result.Load.ByImportance = append(result.Load.ByImportance, int(count))
+		}
+	}
+	return result
+}
--- /dev/null
+++ b/mesh/node.go
@@ -0,0 +1,247 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/goldcrestsail/goldcrestsail/directory"
+	"github.com/goldcrestsail/goldcrestsail/gate"
+	"github.com/goldcrestsail/goldcrestsail/gossip"
+	"github.com/goldcrestsail/goldcrestsail/httpconn"
+	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/membership"
+	"github.com/goldcrestsail/goldcrestsail/message"
+	"github.com/goldcrestsail/goldcrestsail/peerlink"
+	"github.com/goldcrestsail/goldcrestsail/routetable"
+	"github.com/goldcrestsail/goldcrestsail/routing"
+	"github.com/goldcrestsail/goldcrestsail/shedding"
+)
+
+const (
+	// protectedImportances is the number of importances, from the most important
+	// on, that are refused early only on the level of a more important one.
+	protectedImportances = 1
+	// defaultTimeout is the time left of a request that states none.
+	defaultTimeout = 30 * time.Second
+	// tickInterval is how often periodic work is looked at.
+	tickInterval = peerlink.CheckInterval
+)
+
+// Node is the process beside one target. It is safe for concurrent use.
+type Node struct {
+	config Config
+	id     uuid.UUID
+	log    hclog.Logger
+
+	configuration *configuration
+	target        *target
+	client        *httpconn.Target
+	gate          *gate.Gate
+	running       *running
+	directory     *directory.Directory
+	peers         *peerlink.Pool
+	budgets       *budgets
+	shed          struct {
+		mu    sync.Mutex
+		rng   *rand.Rand
+		table *shedding.Table
+	}
+
+	callers    *httpconn.Server
+	peerServer *peerlink.Server
+	gossip     *gossip.Transport
+
+	service  atomic.Pointer[string]
+	draining atomic.Bool
+	// grace holds a time.Duration.
+	grace atomic.Int64
+	// work counts requests in progress of callers and of peers.
+	work atomic.Int64
+	stop context.CancelFunc
+	// pulling is true while a configuration is fetched from a peer.
+	pulling atomic.Bool
+	// applied is the description of the target that the gate was configured with.
+	applied gateInput
+}
+
+// gateInput is what the gate's bounds follow from.
+type gateInput struct {
+	targetID string
+	born     int64
+	slots    int
+}
+
+// New returns a node that is not started yet.
+func New(config Config) *Node {
+	seed := config.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	if config.Logger == nil {
+		config.Logger = hclog.NewNullLogger()
+	}
+	n := &Node{
+		config: config, id: uuid.New(), log: config.Logger,
+		configuration: newConfiguration(), target: newTarget(config.ReportInterval), gate: gate.New(time.Now()),
+		running: newRunning(), peers: peerlink.NewPool(), budgets: newBudgets(config.Budget),
+	}
+	n.client = httpconn.NewTarget(httpconn.TargetConfig{Names: config.Headers, Address: config.TargetAddress})
+	n.directory = directory.New(n.id.String(), config.FailureDomain, rand.New(rand.NewPCG(seed, 1)))
+	n.shed.rng = rand.New(rand.NewPCG(seed, 2))
+	n.shed.table = shedding.NewTable(shedding.Config{Protected: protectedImportances})
+	n.service.Store(&config.Service)
+	n.grace.Store(int64(config.Grace))
+	n.callers = &httpconn.Server{
+		Names: config.Headers, Handle: n.serve, Limits: n.limits, DefaultTimeout: defaultTimeout,
+		Malformed: func(remote string, err error) {
+			n.log.Warn("request rejected as malformed", "remote", remote, "error", err)
+		},
+	}
+	n.peerServer = &peerlink.Server{Handle: n.servePeer, Config: n.configuration.encode}
+	return n
+}
+
+// Start opens the listeners and joins the other nodes. The error has kind
+// settings-invalid when an address cannot be used.
+func (n *Node) Start() error {
+	callers, err := net.Listen("tcp", n.config.CallerAddress)
+	if err != nil {
+		return kind.Newf(kind.SettingsInvalid, "caller address %q: %v", n.config.CallerAddress, err)
+	}
+	peers, err := net.Listen("tcp", n.config.PeerAddress)
+	if err != nil {
+		_ = callers.Close()
+		return kind.Newf(kind.SettingsInvalid, "peer address %q: %v", n.config.PeerAddress, err)
+	}
+	if err := n.join(); err != nil {
+		_ = callers.Close()
+		_ = peers.Close()
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	go n.callers.Serve(callers)
+	go n.peerServer.Serve(peers)
+	go n.tick(ctx)
+	n.log.Info("node started", "instance", n.config.Name, "node_id", n.id.String(), "service", n.config.Service,
+		"failure_domain", n.config.FailureDomain, "region", n.config.Region)
+	return nil
+}
+
+// join starts the gossip.
+func (n *Node) join() error {
+	listen, err := netip.ParseAddrPort(n.config.GossipAddress)
+	if err != nil {
+		return kind.Newf(kind.SettingsInvalid, "gossip address %q: %v", n.config.GossipAddress, err)
+	}
+	var seeds []netip.AddrPort
+	for _, s := range n.config.Seeds {
+		if a, err := netip.ParseAddrPort(s); err == nil {
+			seeds = append(seeds, a)
+		}
+	}
+	n.gossip, err = gossip.Start(gossip.Config{
+		Listen: listen, Delegate: &delegate{n}, Logger: n.log.Named("gossip"),
+		Membership: membership.Config{ID: n.id, Meta: n.meta(), Seeds: seeds},
+	})
+	return err
+}
+
+// AddSeeds adds gossip addresses of other nodes.
+func (n *Node) AddSeeds(addrs []netip.AddrPort) { n.gossip.AddSeeds(addrs) }
+
+// limits returns what callers may send.
+func (n *Node) limits() routetable.Limits {
+	if t := n.configuration.current(); t != nil {
+		return t.Config().Limits
+	}
+	return routetable.Limits{}
+}
+
+// Ready reports whether clients should send work to this node.
+func (n *Node) Ready() bool {
+	return !n.draining.Load() && n.configuration.current() != nil
+}
+
+// ConfigVersion returns the version of the routes in force, 0 for none.
+func (n *Node) ConfigVersion() uint64 { return n.configuration.version() }
+
+// ApplyConfig puts routes in force unless a newer version is. source names where
+// they came from. The error has kind config-rejected.
+func (n *Node) ApplyConfig(c *routetable.Config, source string) error {
+	applied, failure := n.configuration.apply(c)
+	if failure != nil {
+		n.log.Error("configuration rejected", "version", c.Version, "source", source, "error", failure.Error(), "version_in_force", n.configuration.version())
+		return failure
+	}
+	if applied {
+		n.log.Info("configuration in force", "version", c.Version, "source", source, "routes", len(c.Routes), "services", len(c.Services))
+		n.gossip.SetConfigOffset(c.Version)
+	}
+	return nil
+}
+
+// servicePublished reports whether the configuration in force names a service.
+func (n *Node) servicePublished(name string) bool {
+	t := n.configuration.current()
+	return t != nil && t.Service(name) != nil
+}
+
+// tick runs periodic work until ctx ends.
+func (n *Node) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			n.peers.Check(now)
+			n.client.Trim(now)
+			n.refreshTarget(now)
+		}
+	}
+}
+
+// routingMeta is what routing has to know of this node's own target.
+func (n *Node) meta() membership.Meta {
+	r := n.target.current(time.Now())
+	peer, err := netip.ParseAddrPort(n.config.PeerAddress)
+	if err != nil {
+		peer = netip.AddrPort{}
+	}
+	return membership.Meta{
+		Service: *n.service.Load(), PeerAddr: peer, FailureDomain: n.config.FailureDomain, Region: n.config.Region,
+		TargetState: n.targetState(r), Slots: uint32(max(r.Slots, 0)),
+	}
+}
+
+// sendable reports whether a failure of an attempt leaves the request unrun.
+func sendable(f *kind.Error) bool { return f.Run == kind.NotRun }
+
+// levelsBelow returns what is known of the services below the target.
+func (n *Node) levelsBelow(visited []string, now time.Time) []message.ServiceLevel {
+	if len(visited) == 0 {
+		return nil
+	}
+	n.shed.mu.Lock()
+	defer n.shed.mu.Unlock()
+	var levels []message.ServiceLevel
+	for _, service := range visited {
+		if level := n.shed.table.Level(service, now); level != 0 {
+			levels = append(levels, message.ServiceLevel{Service: service, Level: uint32(level)})
+		}
+	}
+	return levels
+}
+
+// selfID returns the ID under which routing knows this node.
+func (n *Node) selfID() routing.TargetID { return routing.TargetID(n.id.String()) }
--- /dev/null
+++ b/mesh/reconfigure.go
@@ -0,0 +1,28 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/registration"
+)
+
+// Reconfigure applies settings that may change while the node runs.
+func (n *Node) Reconfigure(service string, budget BudgetConfig, grace time.Duration) {
+	now := time.Now()
+	if service != *n.service.Load() {
+		n.service.Store(&service)
+		n.target.mu.Lock()
+		n.target.tracker.Forget()
+		n.target.mu.Unlock()
+	}
+	n.budgets.configure(now, budget)
+	n.grace.Store(int64(grace))
+	n.refreshTarget(now)
+}
+
+// Departures returns the departures of targets that this node knows.
+func (n *Node) Departures() []registration.Departure {
+	n.target.mu.Lock()
+	defer n.target.mu.Unlock()
+	return n.target.tracker.Departures()
+}
--- /dev/null
+++ b/mesh/reports.go
@@ -0,0 +1,136 @@
+package mesh
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/gate"
+	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/membership"
+	"github.com/goldcrestsail/goldcrestsail/registration"
+)
+
+const (
+	// departureBroadcast marks the gossip broadcasts that carry departures.
+	departureBroadcast uint32 = 2
+	// departureLife is how long peers remember a departure for a node that
+	// restarts: longer than a target serves after it.
+	departureLife = 2 * time.Minute
+	// queueTimeout bounds the time that a request waits at the target's node.
+	queueTimeout = 200 * time.Millisecond
+	// minLimit is the floor of the concurrency limit of a target.
+	minLimit = 2
+)
+
+// ReportTarget applies what the target beside the node says of itself. The
+// error has kind malformed when the report names no target to use.
+func (n *Node) ReportTarget(r registration.Report) error {
+	now := time.Now()
+	if r.Service != *n.service.Load() && !n.servicePublished(r.Service) {
+		return kind.Newf(kind.Malformed, "service %q of the report is not published", r.Service)
+	}
+	n.target.mu.Lock()
+	before := n.target.tracker.Current(now)
+	news := n.target.tracker.Observe(now, r)
+	after := n.target.tracker.Current(now)
+	n.target.mu.Unlock()
+	if !news {
+		n.log.Debug("report of the target ignored", "target", r.TargetID, "born", r.Born, "seq", r.Seq, "state", r.State.String(), "seq_known", before.Seq)
+		return nil
+	}
+	if after.Service != *n.service.Load() {
+		n.service.Store(&after.Service)
+	}
+	if before.State != after.State || before.TargetID != after.TargetID || before.Born != after.Born {
+		n.log.Info("target state changed", "target", after.TargetID, "born", after.Born, "seq", after.Seq,
+			"state", after.State.String(), "before", before.State.String(), "slots", after.Slots, "cold_for", after.ColdFor.String())
+		if after.State != registration.Ready {
+			n.spreadDeparture(registration.Departure{TargetID: after.TargetID, Born: after.Born, Seq: after.Seq, State: after.State})
+		}
+	}
+	n.refreshTarget(now)
+	return nil
+}
+
+// TargetLeft records that a target says it is gone, and returns the departure.
+func (n *Node) TargetLeft(targetID string, born int64) registration.Departure {
+	n.target.mu.Lock()
+	d := n.target.tracker.Leave(targetID, born)
+	n.target.mu.Unlock()
+	n.log.Info("target left", "target", targetID, "born", d.Born)
+	n.spreadDeparture(d)
+	n.refreshTarget(time.Now())
+	return d
+}
+
+// RememberDepartures applies departures that an earlier process of this node
+// has acknowledged.
+func (n *Node) RememberDepartures(departures []registration.Departure) {
+	n.target.mu.Lock()
+	for _, d := range departures {
+		n.target.tracker.Remember(d)
+	}
+	n.target.mu.Unlock()
+	n.refreshTarget(time.Now())
+}
+
+// SettleDepartures allows work to the target: what earlier processes of the
+// node have acknowledged is known, or cannot be had.
+func (n *Node) SettleDepartures() {
+	n.target.mu.Lock()
+	n.target.settled = true
+	n.target.mu.Unlock()
+	n.refreshTarget(time.Now())
+}
+
+// TargetState returns the report in force.
+func (n *Node) TargetState() registration.Report { return n.target.current(time.Now()) }
+
+// spreadDeparture tells the peers, who tell this node after a restart.
+func (n *Node) spreadDeparture(d registration.Departure) {
+	payload, err := json.Marshal(d)
+	if err != nil {
+		n.log.Error("departure not encoded", "target", d.TargetID, "error", err)
+		return
+	}
+	n.gossip.Broadcast(membership.Broadcast{Kind: departureBroadcast, ID: d.TargetID, Payload: payload, Expiry: time.Now().Add(departureLife)})
+}
+
+// departureReceived applies a departure that a peer passes on.
+func (n *Node) departureReceived(b membership.Broadcast) {
+	var d registration.Departure
+	if err := json.Unmarshal(b.Payload, &d); err != nil {
+		n.log.Warn("unreadable departure of a peer", "id", b.ID, "error", err)
+		return
+	}
+	n.target.mu.Lock()
+	n.target.tracker.Remember(d)
+	n.target.mu.Unlock()
+	n.refreshTarget(time.Now())
+}
+
+// refreshTarget brings the gate and the gossip in line with the target's state.
+func (n *Node) refreshTarget(now time.Time) {
+	r := n.target.current(now)
+	n.target.mu.Lock()
+	input := gateInput{targetID: r.TargetID, born: r.Born, slots: r.Slots}
+	started := r.State == registration.Ready && (input.targetID != n.applied.targetID || input.born != n.applied.born)
+	changed := r.State == registration.Ready && input != n.applied
+	if changed {
+		n.applied = input
+	}
+	n.target.mu.Unlock()
+	if changed {
+		n.gate.Configure(now, gate.Config{Slots: max(r.Slots, 1), MinLimit: min(minLimit, max(r.Slots, 1)), QueueTimeout: queueTimeout})
+		if started {
+			n.gate.TargetStarted(now)
+			n.client.CloseIdle()
+		}
+	}
+	if n.gossip == nil {
+		return
+	}
+	if meta := n.meta(); meta != n.gossip.Self().Meta {
+		n.gossip.UpdateMeta(meta)
+	}
+}
--- /dev/null
+++ b/mesh/running.go
@@ -0,0 +1,139 @@
+package mesh
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/message"
+)
+
+const (
+	// deadlineSpacing is the least distance between the deadlines of two requests
+	// at the target. A sub-call has the deadline of the request that it belongs
+	// to and no other mark, so the deadlines are what tells the requests apart.
+	deadlineSpacing = 3 * time.Millisecond
+	// maxShift bounds what a deadline is brought forward for that.
+	maxShift = 90 * time.Millisecond
+	// matchTolerance is how far the deadline of a sub-call may be from that of its
+	// parent: both are in whole milliseconds and take time to travel.
+	matchTolerance = 12 * time.Millisecond
+)
+
+// running holds the requests that the target is working on. It is safe for
+// concurrent use.
+type running struct {
+	mu   sync.Mutex
+	runs map[*run]struct{}
+}
+
+// run is one request at the target.
+type run struct {
+	call     *message.Call
+	deadline time.Time
+	started  time.Time
+	// subCalls is the number of sub-calls outstanding, the first of them since
+	// waitingSince; waited sums the time with any outstanding.
+	subCalls     int
+	waitingSince time.Time
+	waited       time.Duration
+	visited      []string
+	// refused reports that a sub-call was refused or failed.
+	refused bool
+}
+
+func newRunning() *running { return &running{runs: map[*run]struct{}{}} }
+
+// begin registers a request and returns it with the deadline to pass on.
+func (r *running) begin(now time.Time, call *message.Call) *run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := &run{call: call, started: now, deadline: r.freeDeadline(call.Deadline)}
+	r.runs[x] = struct{}{}
+	return x
+}
+
+// freeDeadline returns a deadline at or shortly before wanted that no other run
+// has.
+func (r *running) freeDeadline(wanted time.Time) time.Time {
+	near := make([]time.Time, 0, 8)
+	for x := range r.runs {
+		if d := wanted.Sub(x.deadline); d > -deadlineSpacing && d < maxShift {
+			near = append(near, x.deadline)
+		}
+	}
+	slices.SortFunc(near, func(a, b time.Time) int { return b.Compare(a) })
+	at := wanted
+	for _, d := range near {
+		if d.Sub(at) >= deadlineSpacing || at.Sub(d) >= deadlineSpacing {
+			continue
+		}
+		at = d.Add(-deadlineSpacing)
+	}
+	if wanted.Sub(at) > maxShift {
+		return wanted
+	}
+	return at
+}
+
+// end removes a request and returns the time without sub-calls and in all.
+func (r *running) end(now time.Time, x *run) (own, total time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.runs, x)
+	if x.subCalls > 0 {
+		x.waited += now.Sub(x.waitingSince)
+	}
+	total = now.Sub(x.started)
+	return total - x.waited, total
+}
+
+// match returns the request that a sub-call with the given deadline belongs to,
+// or nil, and records that the sub-call is outstanding.
+func (r *running) match(now, deadline time.Time) *run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var best *run
+	distance := matchTolerance
+	for x := range r.runs {
+		if d := x.deadline.Sub(deadline).Abs(); d < distance {
+			best, distance = x, d
+		}
+	}
+	if best != nil {
+		if best.subCalls == 0 {
+			best.waitingSince = now
+		}
+		best.subCalls++
+	}
+	return best
+}
+
+// subCallEnded records the end of a sub-call and the services that it visited.
+func (r *running) subCallEnded(now time.Time, x *run, visited []string, failed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x.subCalls--
+	if x.subCalls == 0 {
+		x.waited += now.Sub(x.waitingSince)
+	}
+	x.refused = x.refused || failed
+	for _, s := range visited {
+		if !slices.Contains(x.visited, s) {
+			x.visited = append(x.visited, s)
+		}
+	}
+}
+
+// visitedBy returns the services that the sub-calls of a request visited.
+func (r *running) visitedBy(x *run) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(x.visited)
+}
+
+func (r *running) len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.runs)
+}
--- /dev/null
+++ b/peerlink/client.go
@@ -0,0 +1,253 @@
+package peerlink
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/message"
+)
+
+const (
+	// dialTimeout is many round trips between any two failure domains.
+	dialTimeout = 500 * time.Millisecond
+	// redialDelay is how long calls to an unreachable peer fail at once.
+	redialDelay = 200 * time.Millisecond
+	// pingAfter is how long nothing has arrived, while calls wait, when the
+	// connection is probed, and silentAfter when it is given up. A peer whose
+	// processor share is used up for a moment still answers within the latter.
+	pingAfter   = 250 * time.Millisecond
+	silentAfter = time.Second
+)
+
+var errSilent = errors.New("nothing arrived from the peer")
+
+// Client sends calls to one peer. It is safe for concurrent use.
+type Client struct {
+	address string
+
+	mu      sync.Mutex
+	session *session
+	// dialing is closed when the dial in progress ends.
+	dialing  chan struct{}
+	failedAt time.Time
+	failure  error
+}
+
+// session is one connection to the peer and the calls that wait on it.
+type session struct {
+	*conn
+	mu      sync.Mutex
+	nextID  uint64
+	waiting map[uint64]chan frame
+	heard   time.Time
+	pinged  bool
+	err     error
+}
+
+// NewClient returns a client that dials with the first call.
+func NewClient(address string) *Client { return &Client{address: address} }
+
+// Call sends a call and waits for the reply. The failure has run state not-run
+// as long as nothing was sent. When ctx ends, the peer is told.
+func (c *Client) Call(ctx context.Context, call *message.Call) (*message.Reply, *kind.Error) {
+	s, failure := c.connect(ctx)
+	if failure != nil {
+		return nil, failure
+	}
+	f, failure := s.roundTrip(ctx, frame{kind: frameCall, payload: encodeCall(call, time.Now()), body: call.Body})
+	if failure != nil {
+		return nil, failure
+	}
+	reply, err := decodeReply(f)
+	if err != nil {
+		s.fail(err)
+		return nil, kind.Newf(kind.PeerLost, "peer %s: %v", c.address, err)
+	}
+	return reply, nil
+}
+
+// Config returns the encoded configuration of the peer, nil when it has none.
+func (c *Client) Config(ctx context.Context) ([]byte, *kind.Error) {
+	s, failure := c.connect(ctx)
+	if failure != nil {
+		return nil, failure
+	}
+	f, failure := s.roundTrip(ctx, frame{kind: frameConfigRequest})
+	if failure != nil {
+		return nil, failure
+	}
+	return f.body, nil
+}
+
+// check looks for a connection that has gone silent.
+func (c *Client) check(now time.Time) {
+	c.mu.Lock()
+	s := c.session
+	c.mu.Unlock()
+	if s != nil {
+		s.check(now)
+	}
+}
+
+// Close ends the connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.session != nil {
+		c.session.fail(net.ErrClosed)
+	}
+}
+
+// connect returns the open session, or dials; calls that arrive meanwhile wait
+// for the same dial.
+func (c *Client) connect(ctx context.Context) (*session, *kind.Error) {
+	for {
+		c.mu.Lock()
+		if c.session != nil && !c.session.ended() {
+			s := c.session
+			c.mu.Unlock()
+			return s, nil
+		}
+		if c.failure != nil && time.Since(c.failedAt) < redialDelay {
+			err := c.failure
+			c.mu.Unlock()
+			return nil, kind.Newf(kind.DialFailed, "peer %s: %v", c.address, err)
+		}
+		wait := c.dialing
+		if wait == nil {
+			wait = make(chan struct{})
+			c.dialing = wait
+			go c.dial(wait)
+		}
+		c.mu.Unlock()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, kind.Newf(kind.DialFailed, "peer %s: %v", c.address, ctx.Err())
+		}
+	}
+}
+
+func (c *Client) dial(done chan struct{}) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	nc, err := dialer.Dial("tcp", c.address)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dialing = nil
+	c.failure, c.failedAt = err, time.Now()
+	if err == nil {
+		s := &session{conn: newConn(nc), waiting: map[uint64]chan frame{}, heard: time.Now()}
+		c.session = s
+		go s.read()
+	}
+	close(done)
+}
+
+func (s *session) ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err != nil
+}
+
+// roundTrip sends a message and waits for its answer.
+func (s *session) roundTrip(ctx context.Context, f frame) (frame, *kind.Error) {
+	answer := make(chan frame, 1)
+	s.mu.Lock()
+	if s.err != nil {
+		s.mu.Unlock()
+		return frame{}, kind.Newf(kind.DialFailed, "the connection to the peer has ended: %v", s.err)
+	}
+	if len(s.waiting) == 0 {
+		s.heard, s.pinged = time.Now(), false
+	}
+	s.nextID++
+	f.id = s.nextID
+	s.waiting[f.id] = answer
+	s.mu.Unlock()
+	if !s.send(f) {
+		s.forget(f.id)
+		return frame{}, kind.New(kind.DialFailed, "the connection to the peer ended before the call was sent")
+	}
+	select {
+	case got, ok := <-answer:
+		if ok {
+			return got, nil
+		}
+		s.mu.Lock()
+		err := s.err
+		s.mu.Unlock()
+		return frame{}, kind.Newf(kind.PeerLost, "the connection to the peer ended: %v", err)
+	case <-ctx.Done():
+		s.forget(f.id)
+		s.send(frame{kind: frameCancel, id: f.id})
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return frame{}, kind.New(kind.DeadlineExpired, "no reply of the peer before the deadline")
+		}
+		return frame{}, kind.New(kind.Canceled, "the caller left while a peer was working")
+	}
+}
+
+func (s *session) forget(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, id)
+}
+
+func (s *session) read() {
+	for {
+		f, err := readFrame(s.br)
+		if err != nil {
+			s.fail(err)
+			return
+		}
+		s.mu.Lock()
+		s.heard, s.pinged = time.Now(), false
+		answer := s.waiting[f.id]
+		if f.kind == framePong {
+			answer = nil
+		}
+		if answer != nil {
+			delete(s.waiting, f.id)
+		}
+		s.mu.Unlock()
+		if answer != nil {
+			answer <- f
+		}
+	}
+}
+
+// check probes the connection while calls wait and nothing arrives.
+func (s *session) check(now time.Time) {
+	s.mu.Lock()
+	quiet := now.Sub(s.heard)
+	silent := len(s.waiting) > 0 && quiet > silentAfter && s.pinged
+	ping := len(s.waiting) > 0 && quiet > pingAfter && !s.pinged
+	s.pinged = s.pinged || ping
+	s.mu.Unlock()
+	if silent {
+		s.fail(errSilent)
+		return
+	}
+	if ping {
+		s.send(frame{kind: framePing})
+	}
+}
+
+// fail ends the session and all calls that wait on it.
+func (s *session) fail(err error) {
+	s.mu.Lock()
+	if s.err == nil {
+		s.err = err
+	}
+	waiting := s.waiting
+	s.waiting = map[uint64]chan frame{}
+	s.mu.Unlock()
+	s.close()
+	for _, answer := range waiting {
+		close(answer)
+	}
+}
--- /dev/null
+++ b/peerlink/pool.go
@@ -0,0 +1,64 @@
+package peerlink
+
+import (
+	"sync"
+	"time"
+)
+
+// Pool holds one client for each peer. It is safe for concurrent use.
+type Pool struct {
+	mu      sync.Mutex
+	clients map[string]*Client
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool { return &Pool{clients: map[string]*Client{}} }
+
+// Get returns the client of the peer at an address.
+func (p *Pool) Get(address string) *Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.clients[address]
+	if c == nil {
+		c = NewClient(address)
+		p.clients[address] = c
+	}
+	return c
+}
+
+// CheckInterval is how often Check is to be called.
+const CheckInterval = 100 * time.Millisecond
+
+// Check probes connections on which calls wait and nothing arrives, and gives
+// up those that stay silent.
+func (p *Pool) Check(now time.Time) {
+	p.mu.Lock()
+	clients := make([]*Client, 0, len(p.clients))
+	for _, c := range p.clients {
+		clients = append(clients, c)
+	}
+	p.mu.Unlock()
+	for _, c := range clients {
+		c.check(now)
+	}
+}
+
+// Remove closes the client of a peer that is gone.
+func (p *Pool) Remove(address string) {
+	p.mu.Lock()
+	c := p.clients[address]
+	delete(p.clients, address)
+	p.mu.Unlock()
+	if c != nil {
+		c.Close()
+	}
+}
+
+// Close closes all clients.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.clients {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/peerlink/server.go
@@ -0,0 +1,116 @@
+package peerlink
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/message"
+)
+
+// acceptRetryDelay keeps a persistent accept error from taking a whole core.
+const acceptRetryDelay = 10 * time.Millisecond
+
+// Server answers the calls of other nodes.
+type Server struct {
+	// Handle runs one call. The context ends when the caller cancels the call or
+	// its connection ends.
+	Handle func(ctx context.Context, c *message.Call) *message.Reply
+	// Config returns the encoded configuration in force, or nil.
+	Config func() []byte
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*conn]struct{}
+}
+
+// Serve accepts connections until Stop.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listener, s.conns = l, map[*conn]struct{}{}
+	s.mu.Unlock()
+	for {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		c := newConn(nc)
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		go s.serve(c)
+	}
+}
+
+// Stop closes the listener and all connections.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	for c := range s.conns {
+		c.close()
+	}
+}
+
+func (s *Server) serve(c *conn) {
+	var mu sync.Mutex
+	cancels := map[uint64]context.CancelFunc{}
+	defer func() {
+		c.close()
+		mu.Lock()
+		for _, cancel := range cancels {
+			cancel()
+		}
+		mu.Unlock()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	for {
+		f, err := readFrame(c.br)
+		if err != nil {
+			return
+		}
+		switch f.kind {
+		case frameCall:
+			call, err := decodeCall(f, time.Now())
+			if err != nil {
+				return
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			mu.Lock()
+			cancels[f.id] = cancel
+			mu.Unlock()
+			go func() {
+				reply := s.Handle(ctx, call)
+				mu.Lock()
+				delete(cancels, f.id)
+				mu.Unlock()
+				cancel()
+				out := frame{kind: frameReply, id: f.id, payload: encodeReply(reply)}
+				if reply.Response != nil {
+					out.body = reply.Response.Body
+				}
+				c.send(out)
+			}()
+		case frameCancel:
+			mu.Lock()
+			if cancel := cancels[f.id]; cancel != nil {
+				cancel()
+			}
+			mu.Unlock()
+		case framePing:
+			c.send(frame{kind: framePong, id: f.id})
+		case frameConfigRequest:
+			c.send(frame{kind: frameConfig, id: f.id, body: s.Config()})
+		}
+	}
+}
--- /dev/null
+++ b/routetable/cluster.go
@@ -0,0 +1,7 @@
+package routetable
+
+// Cluster is one part of a weighted split.
+type Cluster struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+}
--- /dev/null
+++ b/routetable/config.go
@@ -0,0 +1,9 @@
+package routetable
+
+// Config is one published version of all routes.
+type Config struct {
+	Version  uint64    `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Limits   Limits    `json:"limits"`
+}
--- a/routing/outlier.go
+++ b/routing/outlier.go
@@ -44,7 +44,7 @@
 			return failure
 		}
 		return success
-	case kind.Shed, kind.QueueTimeout:
+	case kind.Shed, kind.QueueTimeout, kind.TargetRefused:
 		return refusal
 	case kind.DeadlineExpired:
 		if r.responded() {
