Bound new chains by the queueing time of the services behind them

Clients share the address of the target's instance, so no request counted as the start of a chain and nothing was refused there; and failed dependencies were repeated, which multiplied the calls. Matching by deadline was ruled out: half of the sub-calls have a deadline of their own (differences of 233 ms and more at the median).

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -61,7 +61,11 @@
 func (q *Queue) Offer(now time.Time, r Request) []Decision {
 	q.expire(now)
 	r.Rank = r.Rank.clamp()
-	w := waiter{id: r.ID, rank: r.Rank, arrived: now, expires: now.Add(q.config.QueueTimeout), cause: kind.QueueTimeout}
+	timeout := q.config.QueueTimeout
+	if r.MaxWait > 0 {
+		timeout = r.MaxWait
+	}
+	w := waiter{id: r.ID, rank: r.Rank, arrived: now, expires: now.Add(timeout), cause: kind.QueueTimeout}
 	if !r.Deadline.IsZero() {
 		latestStart := r.Deadline.Add(-r.ServiceTime)
 		if latestStart.Before(now) {
--- a/admission/request.go
+++ b/admission/request.go
@@ -16,4 +16,6 @@
 	// ServiceTime is how long the target is expected to take. A request that
 	// could not finish before Deadline is not started.
 	ServiceTime time.Duration
+	// MaxWait replaces the queue timeout for this request when it is positive.
+	MaxWait time.Duration
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -12,6 +12,7 @@
 	"github.com/goldcrestsail/goldcrestsail/limit"
 	"github.com/goldcrestsail/goldcrestsail/message"
 	"github.com/goldcrestsail/goldcrestsail/policy"
+	"github.com/goldcrestsail/goldcrestsail/pressure"
 )
 
 // maxServiceShare bounds the expected service time to this part of the time
@@ -33,6 +34,8 @@
 	byImportance [policy.MaxImportance + 1]uint32
 	nextID       admission.ID
 	timer        *time.Timer
+	// control bounds what new chains may send towards the target.
+	control *pressure.Controller
 }
 
 // New returns a gate with one slot.
@@ -43,6 +46,7 @@
 		importance: map[admission.ID]int{},
 	}
 	g.queue = admission.NewQueue(admission.Config{}, 1, now)
+	g.control = pressure.NewController(now)
 	g.timer = time.AfterFunc(time.Hour, g.tick)
 	return g
 }
@@ -73,7 +77,9 @@
 }
 
 // Acquire waits for a slot. The error has run state not-run.
-func (g *Gate) Acquire(ctx context.Context, rank admission.Rank, deadline time.Time) (admission.ID, *kind.Error) {
+//
+// maxWait replaces the queue timeout when it is positive.
+func (g *Gate) Acquire(ctx context.Context, rank admission.Rank, deadline time.Time, maxWait time.Duration) (admission.ID, *kind.Error) {
 	now := time.Now()
 	decided := make(chan admission.Decision, 1)
 	g.mu.Lock()
@@ -84,7 +90,9 @@
 	g.byImportance[rank.Importance()]++
 	g.settleLocked(now, g.queue.Offer(now, admission.Request{
 		ID: id, Rank: rank, Deadline: deadline, ServiceTime: min(g.limiter.ServiceTime(), deadline.Sub(now)/maxServiceShare),
+		MaxWait: maxWait,
 	}))
+	g.control.Arrived(rank.Importance(), len(g.waiting))
 	g.mu.Unlock()
 
 	select {
@@ -117,6 +125,7 @@
 		g.limiter.Observe(now, *sample)
 	}
 	g.forgetLocked(id)
+	g.control.Completed()
 	g.settleLocked(now, g.queue.Release(now, id))
 	g.settleLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
 }
@@ -149,7 +158,7 @@
 	}
 	return &message.Load{
 		Running: uint32(stats.Running), Waiting: uint32(stats.Waiting), Limit: uint32(stats.Limit),
-		Level: uint32(stats.Level), ServiceTime: g.limiter.ServiceTime(),
+		Level: uint32(stats.Level), Cutoff: float64(g.control.Cutoff()), ServiceTime: g.limiter.ServiceTime(),
 		ByImportance: append([]uint32(nil), g.byImportance[:reported]...),
 	}
 }
@@ -167,6 +176,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limiter.Tick(now)
+	stats := g.queue.Stats(now)
+	g.control.Sample(stats.Waiting)
+	g.control.Tick(now, float64(stats.Running)/float64(max(stats.Limit, 1)))
 	g.settleLocked(now, g.queue.Expire(now))
 	g.settleLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
 	g.timer.Reset(limit.TickInterval)
--- a/httpconn/server.go
+++ b/httpconn/server.go
@@ -19,6 +19,9 @@
 type Server struct {
 	Names  HeaderNames
 	Handle Handler
+	// ParentOf returns the ID of the request that the one with the given ID
+	// belongs to, or "" if the ID does not tell. It may be nil.
+	ParentOf func(id string) string
 	// Limits returns the bounds in force.
 	Limits func() routetable.Limits
 	// DefaultTimeout is the time left of a request that states none.
--- a/httpconn/server_conn.go
+++ b/httpconn/server_conn.go
@@ -220,12 +220,15 @@
 		}
 		left = time.Duration(ms * float64(time.Millisecond))
 	}
-	id := r.Header.Get(names.RequestID)
+	id, parent := r.Header.Get(names.RequestID), ""
+	if c.server.ParentOf != nil {
+		parent = c.server.ParentOf(id)
+	}
 	return &parsed{
 		message: &message.Request{
 			ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: body, Arrived: now, Deadline: now.Add(left),
-			Header:     endToEnd(r.Header, names.RequestID, names.TimeoutMS, names.CallerService, names.ExpectedTarget),
-			FromTarget: sameHost(c.nc.RemoteAddr(), c.nc.LocalAddr()),
+			Header:   endToEnd(r.Header, names.RequestID, names.TimeoutMS, names.CallerService, names.ExpectedTarget),
+			ParentID: parent,
 		},
 		id:    id,
 		close: r.Close,
@@ -235,13 +238,6 @@
 // maxTimeoutMS bounds the stated time left to a day.
 const maxTimeoutMS = 24 * 3600 * 1000
 
-// sameHost reports whether both ends of a connection are on one instance.
-func sameHost(a, b net.Addr) bool {
-	x, okX := a.(*net.TCPAddr)
-	y, okY := b.(*net.TCPAddr)
-	return okX && okY && (x.IP.Equal(y.IP) || x.IP.IsLoopback())
-}
-
 // write sends the responses in order until the queue is closed or the
 // connection fails.
 func (c *serverConn) write() {
--- a/mesh/budgets.go
+++ b/mesh/budgets.go
@@ -15,6 +15,9 @@
 	// slackShare is the part of the stated slack that all nodes together may use
 	// at once.
 	slackShare = 0.5
+	// minBurst lets a node repeat a request that causes several runs at one
+	// service.
+	minBurst = 8
 )
 
 // budgets holds this node's part of the retry budget of each service. Nodes need
@@ -33,7 +36,7 @@
 
 func (b *budgets) parts() retry.BudgetConfig {
 	slack := b.config.Slack * slackShare / float64(max(b.nodes, 1))
-	c := retry.BudgetConfig{Ratio: b.config.Ratio * budgetShare, Burst: max(slack/2, 1)}
+	c := retry.BudgetConfig{Ratio: b.config.Ratio * budgetShare, Burst: max(slack, minBurst)}
 	if b.config.Window > 0 {
 		c.MinRatePerSecond = slack / 2 / b.config.Window.Seconds()
 	}
@@ -82,9 +85,19 @@
 	b.ofLocked(now, service).Attempt(now)
 }
 
-// take reports whether a request may be repeated, and pays for it if so.
-func (b *budgets) take(now time.Time, service string) bool {
+// take reports whether a request may be repeated that runs so often at each
+// service, and pays for it if so: the calls of a repeated run are repeats as
+// well.
+func (b *budgets) take(now time.Time, runs map[string]float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.ofLocked(now, service).Retry(now)
+	for service, n := range runs {
+		if b.ofLocked(now, service).Tokens(now) < max(n, 1) {
+			return false
+		}
+	}
+	for service, n := range runs {
+		b.ofLocked(now, service).Spend(now, n)
+	}
+	return true
 }
--- a/mesh/config.go
+++ b/mesh/config.go
@@ -22,6 +22,9 @@
 	PeerAddress, GossipAddress string
 	// Headers are the names of the header fields that callers and targets use.
 	Headers httpconn.HeaderNames
+	// ParentOf returns the ID of the request that a sub-call with the given ID
+	// belongs to, or "" if the ID does not tell; it may be nil.
+	ParentOf func(id string) string
 	// ReportInterval is the time between two reports of a target.
 	ReportInterval time.Duration
 	// Grace is the time from the signal to stop to the end of the process.
--- a/mesh/drain.go
+++ b/mesh/drain.go
@@ -10,7 +10,7 @@
 	// it is not ready: two checks a second apart, and what is on its way.
 	noticeTime = 2500 * time.Millisecond
 	// exitMargin is what remains of the grace time for the end of the process.
-	exitMargin = 250 * time.Millisecond
+	exitMargin = 600 * time.Millisecond
 	// drainPoll is how often the end of the work in progress is looked at.
 	drainPoll = 20 * time.Millisecond
 	// leaveTimeout bounds the announcement of the departure to the members.
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -38,7 +38,7 @@
 		return &message.Reply{Failure: failure}
 	}
 	rank := admission.MakeRank(int(call.Importance), call.Admitted, call.ChainLevel)
-	id, failure := n.gate.Acquire(ctx, rank, call.Deadline)
+	id, failure := n.gate.Acquire(ctx, rank, call.Deadline, call.MaxWait)
 	if failure != nil {
 		return &message.Reply{Failure: failure}
 	}
@@ -54,8 +54,9 @@
 	response, failure := n.do(ctx, &sent, targetID)
 	own, total := n.running.end(time.Now(), x)
 	n.gate.Release(id, sampleOf(response, failure, own, total))
-	visited := n.running.visitedBy(x)
-	reply := &message.Reply{Failure: failure, Visited: append([]string{call.Service}, visited...), Levels: n.levelsBelow(visited, time.Now())}
+	visited, dependencyFailed := n.running.outcome(x)
+	reply := &message.Reply{Failure: failure, Cutoffs: n.cutoffsBelow(visited, time.Now()), DependencyFailed: dependencyFailed}
+	reply.Visited = append(visited, message.Visit{Service: call.Service, Runs: 1})
 	if failure == nil {
 		reply.Response = &response.Response
 	}
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -5,9 +5,9 @@
 	"net/http"
 	"time"
 
-	"github.com/goldcrestsail/goldcrestsail/admission"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/message"
+	"github.com/goldcrestsail/goldcrestsail/pressure"
 	"github.com/goldcrestsail/goldcrestsail/routing"
 )
 
@@ -69,7 +69,7 @@
 	}
 	now := time.Now()
 	n.directory.Done(now, call.Service, id, resultOf(int(call.Importance), now.Sub(start), reply))
-	n.observeLevels(call.Service, id, reply, now)
+	n.observeCutoffs(call.Service, id, reply, now)
 	return reply
 }
 
@@ -94,7 +94,9 @@
 func (f *forwarding) again(ctx context.Context, reply *message.Reply) bool {
 	q := f.request
 	failure := reply.Failure
-	if failure == nil && (reply.Response.Status < http.StatusInternalServerError || q.call.Unsafe) {
+	if failure == nil && (reply.Response.Status < http.StatusInternalServerError || q.call.Unsafe || reply.DependencyFailed) {
+		// A run that failed because of a sub-call fails in the same way elsewhere,
+		// and every repeat multiplies the calls of the overloaded service.
 		return false
 	}
 	if ctx.Err() != nil {
@@ -121,7 +123,7 @@
 	if q.attempts >= max(q.route.MaxAttempts, 1) || time.Until(q.call.Deadline) < minTimeLeft {
 		return false
 	}
-	return f.node.budgets.take(time.Now(), q.call.Service)
+	return f.node.budgets.take(time.Now(), f.node.runsOf(q.route, q.call.Service))
 }
 
 // reachedTarget reports whether an attempt that did not run arrived at a target
@@ -132,18 +134,19 @@
 // already chosen the target with the most room.
 func overloaded(f *kind.Error) bool { return f.Kind == kind.Shed || f.Kind == kind.QueueTimeout }
 
-// observeLevels records the admission levels that came with a reply.
-func (n *Node) observeLevels(service string, id routing.TargetID, reply *message.Reply, now time.Time) {
-	if reply.Load == nil && len(reply.Levels) == 0 {
+// observeCutoffs records the cutoffs that came with a reply. Open ones of the
+// services below are not sent; theirs expire.
+func (n *Node) observeCutoffs(service string, id routing.TargetID, reply *message.Reply, now time.Time) {
+	if reply.Load == nil && len(reply.Cutoffs) == 0 {
 		return
 	}
-	n.shed.mu.Lock()
-	defer n.shed.mu.Unlock()
+	n.chains.mu.Lock()
+	defer n.chains.mu.Unlock()
 	if reply.Load != nil {
-		n.shed.table.Observe(service, string(id), admission.Rank(reply.Load.Level), now)
+		n.chains.table.Observe(service, string(id), pressure.Cutoff(reply.Load.Cutoff), now)
 	}
-	for _, l := range reply.Levels {
-		n.shed.table.Observe(l.Service, string(id), admission.Rank(l.Level), now.Add(-l.Age))
+	for _, c := range reply.Cutoffs {
+		n.chains.table.Observe(c.Service, string(id), pressure.Cutoff(c.Cutoff), now.Add(-c.Age))
 	}
 }
 
@@ -155,6 +158,9 @@
 	}
 	if reply.Response != nil {
 		result.Responded, result.Status = true, reply.Response.Status
+		if reply.DependencyFailed {
+			result.Status = http.StatusOK
+		}
 	}
 	if load := reply.Load; load != nil {
 		result.Responded = true
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/goldcrestsail/goldcrestsail/chainadmission"
 	"github.com/goldcrestsail/goldcrestsail/directory"
 	"github.com/goldcrestsail/goldcrestsail/gate"
 	"github.com/goldcrestsail/goldcrestsail/gossip"
@@ -20,15 +21,12 @@
 	"github.com/goldcrestsail/goldcrestsail/membership"
 	"github.com/goldcrestsail/goldcrestsail/message"
 	"github.com/goldcrestsail/goldcrestsail/peerlink"
+	"github.com/goldcrestsail/goldcrestsail/pressure"
 	"github.com/goldcrestsail/goldcrestsail/routetable"
 	"github.com/goldcrestsail/goldcrestsail/routing"
-	"github.com/goldcrestsail/goldcrestsail/shedding"
 )
 
 const (
-	// protectedImportances is the number of importances, from the most important
-	// on, that are refused early only on the level of a more important one.
-	protectedImportances = 1
 	// defaultTimeout is the time left of a request that states none.
 	defaultTimeout = 30 * time.Second
 	// tickInterval is how often periodic work is looked at.
@@ -49,10 +47,10 @@
 	directory     *directory.Directory
 	peers         *peerlink.Pool
 	budgets       *budgets
-	shed          struct {
+	chains        struct {
 		mu    sync.Mutex
 		rng   *rand.Rand
-		table *shedding.Table
+		table *chainadmission.Table
 	}
 
 	callers    *httpconn.Server
@@ -95,12 +93,12 @@
 	}
 	n.client = httpconn.NewTarget(httpconn.TargetConfig{Names: config.Headers, Address: config.TargetAddress})
 	n.directory = directory.New(n.id.String(), config.FailureDomain, rand.New(rand.NewPCG(seed, 1)))
-	n.shed.rng = rand.New(rand.NewPCG(seed, 2))
-	n.shed.table = shedding.NewTable(shedding.Config{Protected: protectedImportances})
+	n.chains.rng = rand.New(rand.NewPCG(seed, 2))
+	n.chains.table = chainadmission.NewTable()
 	n.service.Store(&config.Service)
 	n.grace.Store(int64(config.Grace))
 	n.callers = &httpconn.Server{
-		Names: config.Headers, Handle: n.serve, Limits: n.limits, DefaultTimeout: defaultTimeout,
+		Names: config.Headers, Handle: n.serve, Limits: n.limits, DefaultTimeout: defaultTimeout, ParentOf: config.ParentOf,
 		Malformed: func(remote string, err error) {
 			n.log.Warn("request rejected as malformed", "remote", remote, "error", err)
 		},
@@ -227,20 +225,20 @@
 // sendable reports whether a failure of an attempt leaves the request unrun.
 func sendable(f *kind.Error) bool { return f.Run == kind.NotRun }
 
-// levelsBelow returns what is known of the services below the target.
-func (n *Node) levelsBelow(visited []string, now time.Time) []message.ServiceLevel {
+// cutoffsBelow returns what is known of the services that sub-calls visited.
+func (n *Node) cutoffsBelow(visited []message.Visit, now time.Time) []message.ServiceCutoff {
 	if len(visited) == 0 {
 		return nil
 	}
-	n.shed.mu.Lock()
-	defer n.shed.mu.Unlock()
-	var levels []message.ServiceLevel
-	for _, service := range visited {
-		if level := n.shed.table.Level(service, now); level != 0 {
-			levels = append(levels, message.ServiceLevel{Service: service, Level: uint32(level)})
+	n.chains.mu.Lock()
+	defer n.chains.mu.Unlock()
+	var cutoffs []message.ServiceCutoff
+	for _, v := range visited {
+		if cutoff, age := n.chains.table.Cutoff(v.Service, now); cutoff < pressure.Open {
+			cutoffs = append(cutoffs, message.ServiceCutoff{Service: v.Service, Cutoff: float64(cutoff), Age: age})
 		}
 	}
-	return levels
+	return cutoffs
 }
 
 // selfID returns the ID under which routing knows this node.
--- a/mesh/running.go
+++ b/mesh/running.go
@@ -17,7 +17,7 @@
 	maxShift = 90 * time.Millisecond
 	// matchTolerance is how far the deadline of a sub-call may be from that of its
 	// parent: both are in whole milliseconds and take time to travel.
-	matchTolerance = 12 * time.Millisecond
+	matchTolerance = 2 * time.Millisecond
 )
 
 // running holds the requests that the target is working on. It is safe for
@@ -25,6 +25,7 @@
 type running struct {
 	mu   sync.Mutex
 	runs map[*run]struct{}
+	byID map[string]*run
 }
 
 // run is one request at the target.
@@ -37,12 +38,12 @@
 	subCalls     int
 	waitingSince time.Time
 	waited       time.Duration
-	visited      []string
-	// refused reports that a sub-call was refused or failed.
-	refused bool
+	visited      map[string]uint32
+	// dependencyFailed reports that a sub-call was refused or failed.
+	dependencyFailed bool
 }
 
-func newRunning() *running { return &running{runs: map[*run]struct{}{}} }
+func newRunning() *running { return &running{runs: map[*run]struct{}{}, byID: map[string]*run{}} }
 
 // begin registers a request and returns it with the deadline to pass on.
 func (r *running) begin(now time.Time, call *message.Call) *run {
@@ -50,6 +51,7 @@
 	defer r.mu.Unlock()
 	x := &run{call: call, started: now, deadline: r.freeDeadline(call.Deadline)}
 	r.runs[x] = struct{}{}
+	r.byID[call.ID] = x
 	return x
 }
 
@@ -81,6 +83,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.runs, x)
+	if r.byID[x.call.ID] == x {
+		delete(r.byID, x.call.ID)
+	}
 	if x.subCalls > 0 {
 		x.waited += now.Sub(x.waitingSince)
 	}
@@ -88,16 +93,19 @@
 	return total - x.waited, total
 }
 
-// match returns the request that a sub-call with the given deadline belongs to,
-// or nil, and records that the sub-call is outstanding.
-func (r *running) match(now, deadline time.Time) *run {
+// match returns the request that a sub-call belongs to, or nil, and records that
+// the sub-call is outstanding. The parent's ID decides if the caller told it,
+// otherwise the deadline, which the sub-call shares with its parent.
+func (r *running) match(now time.Time, parentID string, deadline time.Time) *run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var best *run
-	distance := matchTolerance
-	for x := range r.runs {
-		if d := x.deadline.Sub(deadline).Abs(); d < distance {
-			best, distance = x, d
+	best := r.byID[parentID]
+	if parentID == "" {
+		distance := matchTolerance
+		for x := range r.runs {
+			if d := x.deadline.Sub(deadline).Abs(); d < distance {
+				best, distance = x, d
+			}
 		}
 	}
 	if best != nil {
@@ -110,30 +118,28 @@
 }
 
 // subCallEnded records the end of a sub-call and the services that it visited.
-func (r *running) subCallEnded(now time.Time, x *run, visited []string, failed bool) {
+func (r *running) subCallEnded(now time.Time, x *run, visited []message.Visit, failed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x.subCalls--
 	if x.subCalls == 0 {
 		x.waited += now.Sub(x.waitingSince)
 	}
-	x.refused = x.refused || failed
-	for _, s := range visited {
-		if !slices.Contains(x.visited, s) {
-			x.visited = append(x.visited, s)
-		}
+	x.dependencyFailed = x.dependencyFailed || failed
+	if x.visited == nil {
+		x.visited = map[string]uint32{}
+	}
+	for _, v := range visited {
+		x.visited[v.Service] += v.Runs
 	}
 }
 
-// visitedBy returns the services that the sub-calls of a request visited.
-func (r *running) visitedBy(x *run) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.Clone(x.visited)
-}
-
-func (r *running) len() int {
+// outcome returns where the sub-calls of a request ran, and whether one failed.
+func (r *running) outcome(x *run) (visited []message.Visit, dependencyFailed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.runs)
+	for service, runs := range x.visited {
+		visited = append(visited, message.Visit{Service: service, Runs: runs})
+	}
+	return visited, x.dependencyFailed
 }
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -2,14 +2,27 @@
 
 import (
 	"context"
+	"maps"
+	"net/http"
 	"time"
 
 	"github.com/goldcrestsail/goldcrestsail/admission"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/message"
 	"github.com/goldcrestsail/goldcrestsail/policy"
+	"github.com/goldcrestsail/goldcrestsail/pressure"
 	"github.com/goldcrestsail/goldcrestsail/routetable"
-	"github.com/goldcrestsail/goldcrestsail/shedding"
+)
+
+const (
+	// rootWaitShare is the part of a route's latency objective that a request of
+	// a client may wait for a slot. A refusal within an eighth of the objective
+	// leaves its caller time for another attempt.
+	rootWaitShare = 0.25
+	minRootWait   = 20 * time.Millisecond
+	// maxSubCallWait bounds the wait of a call of a chain that has begun: refusing
+	// it wastes what the chain has cost, so its deadline is what counts.
+	maxSubCallWait = 2 * time.Second
 )
 
 // request is a caller's request with what was decided about it.
@@ -38,19 +51,19 @@
 	}
 	now := time.Now()
 	if q.parent != nil {
-		n.running.subCallEnded(now, q.parent, visitedOf(reply), failure != nil)
+		n.running.subCallEnded(now, q.parent, visitedOf(reply), failure != nil || reply.Response.Status >= http.StatusInternalServerError)
 	}
 	n.logRequest(q, r, reply, failure, now)
 	if failure != nil {
 		return answer(failure, r.Deadline.Sub(now), n.random())
 	}
-	if q.root && reply.Response.Status < 500 {
-		n.learnPath(q, reply.Visited)
+	if reply.Response.Status < http.StatusInternalServerError {
+		n.learnChain(q.route, reply.Visited)
 	}
 	return reply.Response
 }
 
-func visitedOf(reply *message.Reply) []string {
+func visitedOf(reply *message.Reply) []message.Visit {
 	if reply == nil {
 		return nil
 	}
@@ -74,20 +87,20 @@
 	call := q.call
 	call.Unsafe = q.route.Unsafe
 	call.Service = n.configuration.next(q.route)
-	if r.FromTarget {
-		q.parent = n.running.match(r.Arrived, r.Deadline)
-	}
+	q.parent = n.running.match(r.Arrived, r.ParentID, r.Deadline)
 	if t := q.route.Timeout; t > 0 && r.Arrived.Add(t).Before(call.Deadline) {
 		call.Deadline = r.Arrived.Add(t)
 	}
-	q.root = !r.FromTarget
-	switch {
-	case q.parent != nil:
+	q.root = q.parent == nil
+	if !q.root {
 		call.Importance, call.ChainLevel, call.Admitted = q.parent.call.Importance, q.parent.call.ChainLevel, true
-	default:
-		call.Importance = uint8(min(max(q.route.Importance, 0), policy.MaxImportance))
-		call.ChainLevel = admission.ChainLevel(r.ID)
-		call.Admitted = !q.root
+		call.MaxWait = maxSubCallWait
+		return q, nil
+	}
+	call.Importance = uint8(min(max(q.route.Importance, 0), policy.MaxImportance))
+	call.ChainLevel = admission.ChainLevel(r.ID)
+	if q.route.Objective > 0 {
+		call.MaxWait = max(time.Duration(float64(q.route.Objective)*rootWaitShare), minRootWait)
 	}
 	return q, nil
 }
@@ -95,37 +108,54 @@
 // handle refuses a request early or forwards it.
 func (n *Node) handle(ctx context.Context, q *request) *message.Reply {
 	if q.root {
-		if failure := n.shedEarly(q); failure != nil {
+		if failure := n.checkChain(q); failure != nil {
 			return &message.Reply{Failure: failure}
 		}
 	}
 	return n.forward(ctx, q)
 }
 
-// shedEarly refuses a request that a service on its usual path would refuse.
-func (n *Node) shedEarly(q *request) *kind.Error {
-	n.shed.mu.Lock()
-	defer n.shed.mu.Unlock()
-	verdict := n.shed.table.Check(shedding.Request{
-		Service: q.call.Service, Class: q.route.Name, Importance: int(q.call.Importance), ChainLevel: q.call.ChainLevel,
-	}, time.Now(), n.shed.rng)
+// checkChain refuses a request whose chain a service would refuse.
+func (n *Node) checkChain(q *request) *kind.Error {
+	now := time.Now()
+	position := pressure.Position(int(q.call.Importance), float64(q.call.ChainLevel)/admission.ChainLevels)
+	n.chains.mu.Lock()
+	verdict := n.chains.table.Check(q.route.Name, q.call.Service, position, now)
+	n.chains.mu.Unlock()
 	if verdict.Refuse {
-		return kind.Newf(kind.ShedEarly, "%s is overloaded; its level is %s", verdict.Service, verdict.Level)
+		return kind.Newf(kind.ShedEarly, "service %s admits new chains up to %.2f, this one has %.2f; known for %d ms",
+			verdict.Service, verdict.Cutoff, position, verdict.Age.Milliseconds())
 	}
 	return nil
 }
 
-func (n *Node) learnPath(q *request, visited []string) {
-	n.shed.mu.Lock()
-	defer n.shed.mu.Unlock()
-	n.shed.table.Learn(q.call.Service, q.route.Name, visited)
+func (n *Node) learnChain(route *routetable.Route, visited []message.Visit) {
+	runs := make(map[string]float64, len(visited))
+	for _, v := range visited {
+		runs[v.Service] += float64(v.Runs)
+	}
+	n.chains.mu.Lock()
+	defer n.chains.mu.Unlock()
+	n.chains.table.Learn(route.Name, runs)
+}
+
+// runsOf returns how often a request of a route runs at each service.
+func (n *Node) runsOf(route *routetable.Route, service string) map[string]float64 {
+	n.chains.mu.Lock()
+	defer n.chains.mu.Unlock()
+	runs := maps.Clone(n.chains.table.Runs(route.Name))
+	if runs == nil {
+		runs = map[string]float64{}
+	}
+	runs[service] = max(runs[service], 1)
+	return runs
 }
 
 // random returns a random number from 0 to 1.
 func (n *Node) random() float64 {
-	n.shed.mu.Lock()
-	defer n.shed.mu.Unlock()
-	return n.shed.rng.Float64()
+	n.chains.mu.Lock()
+	defer n.chains.mu.Unlock()
+	return n.chains.rng.Float64()
 }
 
 // logRequest writes the line of a request's end.
--- a/message/call.go
+++ b/message/call.go
@@ -1,5 +1,7 @@
 package message
 
+import "time"
+
 // Call is a request on its way from an entry node to the node of a target.
 type Call struct {
 	Request
@@ -15,4 +17,7 @@
 	ChainLevel uint8
 	// Admitted reports that the chain was admitted by an earlier hop.
 	Admitted bool
+	// MaxWait bounds the time in the queue of the target's node; 0 leaves it to
+	// that node.
+	MaxWait time.Duration
 }
--- a/message/reply.go
+++ b/message/reply.go
@@ -9,8 +9,11 @@
 	Failure  *kind.Error
 	// Load is the state of the target, nil when unknown.
 	Load *Load
-	// Visited lists the services that the chain visited from the target on.
-	Visited []string
-	// Levels are those of the services below the target.
-	Levels []ServiceLevel
+	// Visited says where the chain ran from the target on.
+	Visited []Visit
+	// Cutoffs are those of the services below the target.
+	Cutoffs []ServiceCutoff
+	// DependencyFailed reports that a sub-call of the run was refused or failed,
+	// so that the target's own failure says nothing about the target.
+	DependencyFailed bool
 }
--- a/message/request.go
+++ b/message/request.go
@@ -15,7 +15,7 @@
 	// Arrived is when the request had been read, Deadline when its caller stops
 	// waiting.
 	Arrived, Deadline time.Time
-	// FromTarget reports that the caller is on the node's own instance, which is
-	// the target itself.
-	FromTarget bool
+	// ParentID is the ID of the request that this one belongs to, as far as the
+	// caller's naming tells. It may be wrong.
+	ParentID string
 }
--- /dev/null
+++ b/message/service_cutoff.go
@@ -0,0 +1,11 @@
+package message
+
+import "time"
+
+// ServiceCutoff is the cutoff of a service further down a chain.
+type ServiceCutoff struct {
+	Service string
+	Cutoff  float64
+	// Age is how old the cutoff was when the reply was sent.
+	Age time.Duration
+}
--- /dev/null
+++ b/message/visit.go
@@ -0,0 +1,7 @@
+package message
+
+// Visit says how often a chain ran at a service.
+type Visit struct {
+	Service string
+	Runs    uint32
+}
--- a/node/execute.go
+++ b/node/execute.go
@@ -62,7 +62,7 @@
 	if x.call.NonIdempotent {
 		return n.runOnce(ctx, x)
 	}
-	id, failure := n.gate.Acquire(ctx, x.rank, x.deadline)
+	id, failure := n.gate.Acquire(ctx, x.rank, x.deadline, 0)
 	if failure != nil {
 		return nil, failure
 	}
@@ -113,7 +113,7 @@
 		return replayed(verdict.Response)
 	}
 	x.token = verdict.Token
-	id, failure := n.gate.Acquire(ctx, x.rank, x.deadline)
+	id, failure := n.gate.Acquire(ctx, x.rank, x.deadline, 0)
 	if failure != nil {
 		x.token.Release()
 		return nil, failure
--- a/peerlink/encode_call.go
+++ b/peerlink/encode_call.go
@@ -22,6 +22,7 @@
 	callImportance
 	callChainLevel
 	callAdmitted
+	callMaxWait
 )
 
 // encodeCall encodes a call without its body. The time left is in microseconds,
@@ -39,6 +40,7 @@
 	b = appendFlag(b, callUnsafe, c.Unsafe)
 	b = appendNumber(b, callImportance, uint64(c.Importance))
 	b = appendNumber(b, callChainLevel, uint64(c.ChainLevel))
+	b = appendNumber(b, callMaxWait, uint64(max(0, c.MaxWait.Microseconds())))
 	return appendFlag(b, callAdmitted, c.Admitted)
 }
 
@@ -60,6 +62,8 @@
 			c.Importance = uint8(min(v, 255))
 		case callChainLevel:
 			c.ChainLevel = uint8(min(v, 255))
+		case callMaxWait:
+			c.MaxWait = microseconds(v)
 		case callAdmitted:
 			c.Admitted = v != 0
 		}
--- a/peerlink/encode_reply.go
+++ b/peerlink/encode_reply.go
@@ -24,17 +24,25 @@
 	replyServiceTime
 	replyByImportance
 	replyVisited
-	replyLevels
+	replyCutoffs
 	replyHasLoad
+	replyCutoff
+	replyDependencyFailed
 )
 
-// Field numbers of a service level.
+// Field numbers of a service's cutoff and of a visit.
 const (
-	levelService protowire.Number = 1
-	levelLevel   protowire.Number = 2
-	levelAge     protowire.Number = 3
+	cutoffService protowire.Number = 1
+	cutoffValue   protowire.Number = 2
+	cutoffAge     protowire.Number = 3
+
+	visitService protowire.Number = 1
+	visitRuns    protowire.Number = 2
 )
 
+// cutoffUnit is the resolution of a cutoff on the wire.
+const cutoffUnit = 1.0 / 256
+
 // encodeReply encodes a reply without the body of its response.
 func encodeReply(r *message.Reply) []byte {
 	b := make([]byte, 0, 256)
@@ -54,6 +62,7 @@
 		b = appendNumber(b, replyWaiting, uint64(l.Waiting))
 		b = appendNumber(b, replyLimit, uint64(l.Limit))
 		b = appendNumber(b, replyLevel, uint64(l.Level))
+		b = appendNumber(b, replyCutoff, encodeCutoff(l.Cutoff))
 		b = appendNumber(b, replyServiceTime, uint64(max(0, l.ServiceTime.Microseconds())))
 		var counts []byte
 		for _, n := range l.ByImportance {
@@ -63,17 +72,20 @@
 			b = appendMessage(b, replyByImportance, counts)
 		}
 	}
-	for _, s := range r.Visited {
-		b = appendText(b, replyVisited, s)
+	for _, v := range r.Visited {
+		var inner []byte
+		inner = appendText(inner, visitService, v.Service)
+		inner = appendNumber(inner, visitRuns, uint64(v.Runs))
+		b = appendMessage(b, replyVisited, inner)
 	}
-	for _, l := range r.Levels {
+	for _, c := range r.Cutoffs {
 		var inner []byte
-		inner = appendText(inner, levelService, l.Service)
-		inner = appendNumber(inner, levelLevel, uint64(l.Level))
-		inner = appendNumber(inner, levelAge, uint64(max(0, l.Age.Milliseconds())))
-		b = appendMessage(b, replyLevels, inner)
+		inner = appendText(inner, cutoffService, c.Service)
+		inner = appendNumber(inner, cutoffValue, encodeCutoff(c.Cutoff))
+		inner = appendNumber(inner, cutoffAge, uint64(max(0, c.Age.Milliseconds())))
+		b = appendMessage(b, replyCutoffs, inner)
 	}
-	return b
+	return appendFlag(b, replyDependencyFailed, r.DependencyFailed)
 }
 
 func microseconds(v uint64) time.Duration {
@@ -102,6 +114,10 @@
 			load.Limit = uint32(v)
 		case replyLevel:
 			load.Level = uint32(v)
+		case replyCutoff:
+			load.Cutoff = decodeCutoff(v)
+		case replyDependencyFailed:
+			r.DependencyFailed = v != 0
 		case replyServiceTime:
 			load.ServiceTime = microseconds(v)
 		}
@@ -125,9 +141,9 @@
 				v = v[size:]
 			}
 		case replyVisited:
-			r.Visited = append(r.Visited, string(v))
-		case replyLevels:
-			return decodeLevel(v, &r.Levels)
+			return decodeVisit(v, &r.Visited)
+		case replyCutoffs:
+			return decodeServiceCutoff(v, &r.Cutoffs)
 		}
 		return nil
 	})
@@ -142,21 +158,41 @@
 	return r, err
 }
 
-func decodeLevel(b []byte, to *[]message.ServiceLevel) error {
-	var l message.ServiceLevel
+func encodeCutoff(c float64) uint64 { return uint64(max(0, c)/cutoffUnit + 0.5) }
+
+func decodeCutoff(v uint64) float64 { return float64(min(v, 1<<20)) * cutoffUnit }
+
+func decodeServiceCutoff(b []byte, to *[]message.ServiceCutoff) error {
+	var c message.ServiceCutoff
 	err := walk(b, func(field protowire.Number, v uint64) {
 		switch field {
-		case levelLevel:
-			l.Level = uint32(v)
-		case levelAge:
-			l.Age = time.Duration(min(v, uint64(maxTimeLeft.Milliseconds()))) * time.Millisecond
+		case cutoffValue:
+			c.Cutoff = decodeCutoff(v)
+		case cutoffAge:
+			c.Age = time.Duration(min(v, uint64(maxTimeLeft.Milliseconds()))) * time.Millisecond
+		}
+	}, func(field protowire.Number, v []byte) error {
+		if field == cutoffService {
+			c.Service = string(v)
+		}
+		return nil
+	})
+	*to = append(*to, c)
+	return err
+}
+
+func decodeVisit(b []byte, to *[]message.Visit) error {
+	var visit message.Visit
+	err := walk(b, func(field protowire.Number, v uint64) {
+		if field == visitRuns {
+			visit.Runs = uint32(min(v, 1<<20))
 		}
 	}, func(field protowire.Number, v []byte) error {
-		if field == levelService {
-			l.Service = string(v)
+		if field == visitService {
+			visit.Service = string(v)
 		}
 		return nil
 	})
-	*to = append(*to, l)
+	*to = append(*to, visit)
 	return err
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -63,6 +63,12 @@
 	return true
 }
 
+// Spend pays for n retries, as far as the tokens go.
+func (b *Budget) Spend(now time.Time, n float64) {
+	b.refill(now)
+	b.tokens = max(0, b.tokens-n)
+}
+
 // Tokens returns the number of retries that could be sent at once.
 func (b *Budget) Tokens(now time.Time) float64 {
 	b.refill(now)
