--- a/admission/queue.go
+++ b/admission/queue.go
@@ -65,7 +65,7 @@
 	if r.MaxWait > 0 {
 		timeout = r.MaxWait
 	}
-	w := waiter{id: r.ID, rank: r.Rank, arrived: now, expires: now.Add(timeout), cause: kind.QueueTimeout}
+	w := waiter{id: r.ID, rank: r.Rank, arrived: now, expires: now.Add(timeout), cause: kind.QueueTimeout, ownBound: r.MaxWait > 0}
 	if !r.Deadline.IsZero() {
 		latestStart := r.Deadline.Add(-r.ServiceTime)
 		if latestStart.Before(now) {
@@ -157,7 +157,7 @@
 	q.level.roll(now, len(q.waiting))
 	for len(q.heap) > 0 && !q.slab[q.heap[0]].expires.After(now) {
 		at := q.heap[0]
-		if w := &q.slab[at]; w.cause == kind.QueueTimeout {
+		if w := &q.slab[at]; w.cause == kind.QueueTimeout && !w.ownBound {
 			for worst := q.worst(now); q.slab[worst].rank.Importance() > w.rank.Importance(); worst = q.worst(now) {
 				q.drop(now, worst, kind.Shed)
 			}
--- a/admission/request.go
+++ b/admission/request.go
@@ -16,6 +16,8 @@
 	// ServiceTime is how long the target is expected to take. A request that
 	// could not finish before Deadline is not started.
 	ServiceTime time.Duration
-	// MaxWait replaces the queue timeout for this request when it is positive.
+	// MaxWait replaces the queue timeout for this request when it is positive. It
+	// is a bound of the caller's own, like the deadline: a request that reaches
+	// it is dropped alone.
 	MaxWait time.Duration
 }
--- a/admission/waiter.go
+++ b/admission/waiter.go
@@ -15,6 +15,8 @@
 	// reason in cause.
 	arrived, expires time.Time
 	cause            kind.Kind
+	// ownBound reports that the end of the wait is a bound of the request alone.
+	ownBound bool
 	// older and newer link the waiters of one rank by arrival.
 	older, newer int32
 	// heapAt is the position in the expiry heap.
--- a/pressure/controller.go
+++ b/pressure/controller.go
@@ -5,18 +5,18 @@
 const (
 	// Interval is how often the cutoff is set anew.
 	Interval = 100 * time.Millisecond
-	// targetDelay is the queueing time that counts as overload; DAGOR uses the
-	// same.
-	targetDelay = 20 * time.Millisecond
+	// targetDelay is the queueing time that counts as overload. Under strict
+	// priority only the least important work waits that long.
+	targetDelay = 60 * time.Millisecond
 	// lowDelay is the queueing time below which more work may start.
 	lowDelay = targetDelay / 2
 	// minCut and maxCut bound the part of the load that one step takes away.
 	// Between them it grows with the queueing time.
-	minCut = 0.04
-	maxCut = 0.25
+	minCut = 0.03
+	maxCut = 0.15
 	// settle is the time in which the effect of a cut arrives: requests that have
 	// started before it still make calls.
-	settle = 200 * time.Millisecond
+	settle = 300 * time.Millisecond
 	// raise is the part of the load that one step adds, fastRaise while slots are
 	// free.
 	raise     = 0.03
