--- a/directory/directory.go
+++ b/directory/directory.go
@@ -15,7 +15,7 @@
 // Directory holds the routing tables of all services and the peer addresses of
 // their nodes. It is safe for concurrent use.
 type Directory struct {
-	self          string
+	options       routing.Options
 	failureDomain string
 	mu            sync.Mutex
 	rng           *rand.Rand
@@ -29,10 +29,11 @@
 	service string
 }
 
-// New returns an empty directory of the node named self.
-func New(self, failureDomain string, rng *rand.Rand) *Directory {
+// New returns an empty directory of a node in a failure domain. The options
+// hold for the targets of each service.
+func New(options routing.Options, failureDomain string, rng *rand.Rand) *Directory {
 	return &Directory{
-		self: self, failureDomain: failureDomain, rng: rng,
+		options: options, failureDomain: failureDomain, rng: rng,
 		tables:    map[string]*routing.Table{},
 		endpoints: map[routing.TargetID]endpoint{},
 	}
@@ -73,7 +74,7 @@
 func (d *Directory) tableLocked(service string) *routing.Table {
 	t := d.tables[service]
 	if t == nil {
-		t = routing.NewTable(routing.Options{Node: d.self})
+		t = routing.NewTable(d.options)
 		d.tables[service] = t
 	}
 	return t
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -27,6 +27,13 @@
 )
 
 const (
+	// domainFactor, fullUtilization and saturatedFactor keep calls in the failure
+	// domain, since bytes between domains are dear: a target there may be three
+	// times as slow, as long as it has a slot free, and a quarter more loaded when
+	// all are full.
+	domainFactor    = 3.0
+	fullUtilization = 1.0
+	saturatedFactor = 1.25
 	// defaultTimeout is the time left of a request that states none.
 	defaultTimeout = 30 * time.Second
 	// tickInterval is how often periodic work is looked at.
@@ -92,7 +99,9 @@
 		running: newRunning(), peers: peerlink.NewPool(), budgets: newBudgets(config.Budget),
 	}
 	n.client = httpconn.NewTarget(httpconn.TargetConfig{Names: config.Headers, Address: config.TargetAddress})
-	n.directory = directory.New(n.id.String(), config.FailureDomain, rand.New(rand.NewPCG(seed, 1)))
+	n.directory = directory.New(routing.Options{
+		Node: n.id.String(), DomainFactor: domainFactor, FullUtilization: fullUtilization, SaturatedFactor: saturatedFactor,
+	}, config.FailureDomain, rand.New(rand.NewPCG(seed, 1)))
 	n.chains.rng = rand.New(rand.NewPCG(seed, 2))
 	n.chains.table = chainadmission.NewTable()
 	n.service.Store(&config.Service)
--- a/mesh/reports.go
+++ b/mesh/reports.go
@@ -18,6 +18,9 @@
 	departureLife = 2 * time.Minute
 	// queueTimeout bounds the time that a request waits at the target's node.
 	queueTimeout = 200 * time.Millisecond
+	// usableShare is the part of the slots that is used: just under the load from
+	// which targets have been seen to slow down.
+	usableShare = 0.949
 	// minLimit is the floor of the concurrency limit of a target.
 	minLimit = 2
 )
@@ -109,6 +112,12 @@
 	n.refreshTarget(time.Now())
 }
 
+// usableSlots returns how many slots of a target are used at once. Some targets
+// slow down when nearly all of their slots are taken.
+func usableSlots(slots int) int {
+	return max(int(float64(slots)*usableShare), 1)
+}
+
 // refreshTarget brings the gate and the gossip in line with the target's state.
 func (n *Node) refreshTarget(now time.Time) {
 	r := n.target.current(now)
@@ -121,7 +130,8 @@
 	}
 	n.target.mu.Unlock()
 	if changed {
-		n.gate.Configure(now, gate.Config{Slots: max(r.Slots, 1), MinLimit: min(minLimit, max(r.Slots, 1)), QueueTimeout: queueTimeout})
+		usable := usableSlots(r.Slots)
+		n.gate.Configure(now, gate.Config{Slots: usable, MinLimit: min(minLimit, usable), QueueTimeout: queueTimeout})
 		if started {
 			n.gate.TargetStarted(now)
 			n.client.CloseIdle()
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/peerrpc"
 	"github.com/goldcrestsail/goldcrestsail/policy"
+	"github.com/goldcrestsail/goldcrestsail/routing"
 	"github.com/goldcrestsail/goldcrestsail/shedding"
 )
 
@@ -84,7 +85,7 @@
 		chains: &chains{table: chain.NewTable(chain.Config{})}, budgets: newBudgets(), closed: make(chan struct{}),
 	}
 	n.log = config.Logger.With("node", n.id.String())
-	n.router = directory.New(n.id.String(), config.FailureDomain, rand.New(rand.NewPCG(seed, 1)))
+	n.router = directory.New(routing.Options{Node: n.id.String()}, config.FailureDomain, rand.New(rand.NewPCG(seed, 1)))
 	n.shed.rng = rand.New(rand.NewPCG(seed, 2))
 	n.shed.table = shedding.NewTable(shedding.Config{Protected: protectedImportances})
 	n.guards = newGuards(n)
--- a/routing/defaults.go
+++ b/routing/defaults.go
@@ -16,8 +16,10 @@
 	DefaultProbeMax = 8 * time.Second
 	// DefaultLoadHalfLife is a few round trips: within it, the calls of other
 	// nodes change a target's load.
-	DefaultLoadHalfLife = 200 * time.Millisecond
-	DefaultDomainFactor = 2.0
+	DefaultLoadHalfLife    = 200 * time.Millisecond
+	DefaultDomainFactor    = 2.0
+	DefaultFullUtilization = 0.8
+	DefaultSaturatedFactor = 1.0
 )
 
 func (o *Options) applyDefaults() {
@@ -27,6 +29,8 @@
 	setDefault(&o.ProbeMax, DefaultProbeMax)
 	setDefault(&o.LoadHalfLife, DefaultLoadHalfLife)
 	setDefault(&o.DomainFactor, DefaultDomainFactor)
+	setDefault(&o.FullUtilization, DefaultFullUtilization)
+	setDefault(&o.SaturatedFactor, DefaultSaturatedFactor)
 }
 
 func setDefault[T comparable](field *T, value T) {
--- a/routing/options.go
+++ b/routing/options.go
@@ -20,4 +20,12 @@
 	// DomainFactor is how many times the cost of the best target elsewhere a
 	// target of the node's own failure domain may cost and still be chosen.
 	DomainFactor float64
+	// FullUtilization is the share of the limit in use from which a target of the
+	// node's own failure domain is no longer preferred by DomainFactor: calls
+	// would wait there while slots are free elsewhere.
+	FullUtilization float64
+	// SaturatedFactor takes the place of DomainFactor from there on. At 1 calls
+	// leave the failure domain for any difference, also when all targets are
+	// equally full and nothing is gained.
+	SaturatedFactor float64
 }
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -8,11 +8,6 @@
 	"github.com/goldcrestsail/goldcrestsail/kind"
 )
 
-// fullUtilization is the share of the limit in use from which a target of the
-// node's own failure domain is no longer preferred: calls would wait there
-// while slots are free elsewhere.
-const fullUtilization = 0.8
-
 func (in *PickInput) excludes(g *target) bool {
 	return len(in.Exclude) > 0 && slices.Contains(in.Exclude, g.member.ID)
 }
@@ -61,10 +56,11 @@
 		}
 		return local
 	}
-	if localCost <= remoteCost {
-		return local
+	factor := t.options.SaturatedFactor
+	if t.utilization(local, now, in.Importance) < t.options.FullUtilization {
+		factor = max(factor, t.options.DomainFactor)
 	}
-	if localCost <= t.options.DomainFactor*remoteCost && t.utilization(local, now, in.Importance) < fullUtilization {
+	if localCost <= factor*remoteCost {
 		return local
 	}
 	return remote
