--- a/httpconn/server.go
+++ b/httpconn/server.go
@@ -73,14 +73,19 @@
 	}
 }
 
-// Stop closes the listener and all connections.
-func (s *Server) Stop() {
+// StopListening closes the listener; connections go on.
+func (s *Server) StopListening() {
 	s.mu.Lock()
 	l := s.listener
 	s.mu.Unlock()
 	if l != nil {
 		_ = l.Close()
 	}
+}
+
+// Stop closes the listener and all connections.
+func (s *Server) Stop() {
+	s.StopListening()
 	for _, c := range s.list() {
 		_ = c.nc.Close()
 	}
--- a/mesh/drain.go
+++ b/mesh/drain.go
@@ -9,28 +9,40 @@
 	// noticeTime is how long clients go on sending after the node has said that
 	// it is not ready: two checks a second apart, and what is on its way.
 	noticeTime = 2500 * time.Millisecond
+	// listenShare is the part of the grace time after which no connection is
+	// accepted any more, even if the target still makes calls: what begins later
+	// could not end in time.
+	listenShare = 0.7
 	// exitMargin is what remains of the grace time for the end of the process.
-	exitMargin = 600 * time.Millisecond
+	exitMargin = 350 * time.Millisecond
 	// drainPoll is how often the end of the work in progress is looked at.
 	drainPoll = 20 * time.Millisecond
-	// leaveTimeout bounds the announcement of the departure to the members.
-	leaveTimeout = 300 * time.Millisecond
 )
 
 // Drain ends the node without cutting off requests: it announces the departure,
-// serves what still arrives, and returns when nothing is in progress and clients
-// have had time to notice, or when the grace time is nearly over.
+// takes no more work for the target, serves what callers still send, and returns
+// when nothing is in progress and clients have had time to notice, or when the
+// grace time is nearly over.
 func (n *Node) Drain() {
 	if !n.draining.CompareAndSwap(false, true) {
 		return
 	}
 	began := time.Now()
-	end := began.Add(time.Duration(n.grace.Load()) - exitMargin)
-	n.log.Info("node draining", "in_progress", n.work.Load(), "connections", n.callers.Connections())
+	grace := time.Duration(n.grace.Load())
+	end := began.Add(grace - exitMargin)
+	n.log.Info("node draining", "in_progress", n.work.Load(), "at_target", n.running.len(), "connections", n.callers.Connections())
 	n.gossip.UpdateMeta(n.meta())
 	n.callers.Drain()
+	listening := true
 	for time.Now().Before(end) {
-		if time.Since(began) >= noticeTime {
+		elapsed := time.Since(began)
+		// The target needs connections for the calls of what it still works on.
+		if listening && elapsed >= noticeTime && (n.running.len() == 0 || elapsed >= time.Duration(float64(grace)*listenShare)) {
+			listening = false
+			n.callers.StopListening()
+			go n.leave(end)
+		}
+		if !listening {
 			n.callers.CloseIdle()
 			if n.work.Load() == 0 && n.callers.Connections() == 0 {
 				break
@@ -38,13 +50,17 @@
 		}
 		time.Sleep(drainPoll)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	n.log.Info("node stopped", "in_progress", n.work.Load(), "connections", n.callers.Connections(), "after_ms", time.Since(began).Milliseconds())
+	n.Close()
+}
+
+// leave announces the departure to the members.
+func (n *Node) leave(end time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := n.gossip.Leave(ctx); err != nil {
 		n.log.Warn("departure not announced to all members", "error", err)
 	}
-	n.log.Info("node stopped", "in_progress", n.work.Load(), "after_ms", time.Since(began).Milliseconds())
-	n.Close()
 }
 
 // Draining reports whether the node is about to end.
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -34,6 +34,9 @@
 	if service := *n.service.Load(); call.Service != service {
 		return &message.Reply{Failure: kind.Newf(kind.Starting, "the target belongs to service %s", service)}
 	}
+	if n.draining.Load() {
+		return &message.Reply{Failure: kind.New(kind.Draining, "the node beside the target is about to end")}
+	}
 	if _, failure := n.target.admit(time.Now()); failure != nil {
 		return &message.Reply{Failure: failure}
 	}
--- a/mesh/running.go
+++ b/mesh/running.go
@@ -143,3 +143,10 @@
 	}
 	return visited, x.dependencyFailed
 }
+
+// len returns the number of requests at the target.
+func (r *running) len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.runs)
+}
