Work off a queue in 0.3 s; treat returning callers like all others

Cause: callers that came back went before first attempts, nearly all refused callers came back, and the cutoff no longer bounded what it let through: about 100 requests waited at pris for 8 s.

--- a/chainadmission/table.go
+++ b/chainadmission/table.go
@@ -15,9 +15,6 @@
 	usualRuns = 0.5
 	// learnWeight is the weight of one chain in the mean number of runs.
 	learnWeight = 0.05
-	// returningShare is the part of the longest time left below which a request
-	// counts as a later attempt.
-	returningShare = 0.97
 	// maxRoutes bounds the routes that are learned; a deployment has some
 	// hundred.
 	maxRoutes = 4096
@@ -38,8 +35,6 @@
 // chain is what the requests of one route cause.
 type chain struct {
 	learned int
-	// longest is the longest time left with which a request has arrived.
-	longest time.Duration
 	// runs is the mean number of runs at each service per request.
 	runs map[string]float64
 }
@@ -111,18 +106,6 @@
 	return c
 }
 
-// Returning reports whether a request that arrived with the given time left is
-// a later attempt of its caller: clients give a request a fixed time, of which a
-// returning one has used some.
-func (t *Table) Returning(route string, left time.Duration) bool {
-	c := t.chain(route)
-	if c == nil {
-		return false
-	}
-	c.longest = max(c.longest, left)
-	return float64(left) < returningShare*float64(c.longest)
-}
-
 // Runs returns the mean number of runs at each service that a request of a
 // route causes. The caller must not change it.
 func (t *Table) Runs(route string) map[string]float64 {
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -19,9 +19,6 @@
 	// a client may wait for a slot: the rest is for the work itself.
 	rootWaitShare = 0.5
 	minRootWait   = 20 * time.Millisecond
-	// returningPrecedence divides the chain level of a request whose caller has
-	// come back, so that it goes before most first attempts of its importance.
-	returningPrecedence = 4
 	// maxSubCallWait bounds the wait of a call of a chain that has begun: refusing
 	// it wastes what the chain has cost, so its deadline is what counts.
 	maxSubCallWait = 2 * time.Second
@@ -35,8 +32,6 @@
 	parent *run
 	// root reports that the request begins a chain.
 	root bool
-	// returning reports that the caller has been refused before.
-	returning bool
 	// attempts counts the targets that the request was sent to.
 	attempts int
 }
@@ -103,13 +98,6 @@
 	}
 	call.Importance = uint8(min(max(q.route.Importance, 0), policy.MaxImportance))
 	call.ChainLevel = admission.ChainLevel(r.ID)
-	n.chains.mu.Lock()
-	q.returning = n.chains.table.Returning(q.route.Name, r.Deadline.Sub(r.Arrived))
-	n.chains.mu.Unlock()
-	if q.returning {
-		// Its caller was refused before and has waited.
-		call.ChainLevel /= returningPrecedence
-	}
 	if q.route.Objective > 0 {
 		call.MaxWait = max(time.Duration(float64(q.route.Objective)*rootWaitShare), minRootWait)
 	}
--- a/pressure/controller.go
+++ b/pressure/controller.go
@@ -10,8 +10,8 @@
 	usedCapacity = 0.97
 	// drainTime is the time in which a queue longer than queueAllowance times the
 	// slots is to be worked off.
-	drainTime      = time.Second
-	queueAllowance = 0.25
+	drainTime      = 300 * time.Millisecond
+	queueAllowance = 0.15
 	// arrivalWeight is the weight of one interval in the arrival rates.
 	arrivalWeight = 0.25
 	// minShare is the part of an importance that has to be admitted for its
