--- a/chainadmission/table.go
+++ b/chainadmission/table.go
@@ -1,6 +1,7 @@
 package chainadmission
 
 import (
+	"maps"
 	"time"
 
 	"github.com/goldcrestsail/goldcrestsail/pressure"
@@ -135,3 +136,24 @@
 	cutoff, age := t.Cutoff(service, now)
 	return Verdict{Refuse: !cutoff.Admits(position), Service: service, Cutoff: cutoff, Age: age}
 }
+
+// Cutoffs returns the cutoff of every service with a recent report.
+func (t *Table) Cutoffs(now time.Time) map[string]pressure.Cutoff {
+	all := make(map[string]pressure.Cutoff, len(t.services))
+	for service, reports := range t.services {
+		cutoff, _ := t.Cutoff(service, now)
+		if len(reports) > 0 {
+			all[service] = cutoff
+		}
+	}
+	return all
+}
+
+// AllRuns returns a copy of the mean number of runs at each service by route.
+func (t *Table) AllRuns() map[string]map[string]float64 {
+	all := make(map[string]map[string]float64, len(t.routes))
+	for route, c := range t.routes {
+		all[route] = maps.Clone(c.runs)
+	}
+	return all
+}
--- a/mesh/budgets.go
+++ b/mesh/budgets.go
@@ -101,3 +101,14 @@
 	}
 	return true
 }
+
+// tokens returns the repeats of each service that could be sent at once.
+func (b *budgets) tokens(now time.Time) map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := make(map[string]float64, len(b.services))
+	for service, s := range b.services {
+		all[service] = s.Tokens(now)
+	}
+	return all
+}
--- a/mesh/configuration.go
+++ b/mesh/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"sync"
+	"time"
 
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/routetable"
@@ -14,6 +15,7 @@
 	table    *routetable.Table
 	splitter *routetable.Splitter
 	encoded  []byte
+	since    time.Time
 }
 
 func newConfiguration() *configuration {
@@ -27,6 +29,16 @@
 	return c.table
 }
 
+// age returns how long the configuration has been in force, 0 without one.
+func (c *configuration) age(now time.Time) time.Duration {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if c.table == nil {
+		return 0
+	}
+	return now.Sub(c.since)
+}
+
 // version returns the version in force, 0 for none.
 func (c *configuration) version() uint64 {
 	if t := c.current(); t != nil {
@@ -50,7 +62,7 @@
 	if c.table != nil && next.Version <= c.table.Config().Version {
 		return false, nil
 	}
-	c.table, c.encoded = routetable.New(next), encoded
+	c.table, c.encoded, c.since = routetable.New(next), encoded, time.Now()
 	c.splitter.Reset()
 	return true, nil
 }
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -41,10 +41,12 @@
 		return &message.Reply{Failure: failure}
 	}
 	rank := admission.MakeRank(int(call.Importance), call.Admitted, call.ChainLevel)
+	offered := time.Now()
 	id, failure := n.gate.Acquire(ctx, rank, call.Deadline, call.MaxWait)
 	if failure != nil {
 		return &message.Reply{Failure: failure}
 	}
+	n.metrics.queued.Update(time.Since(offered).Seconds())
 	// The target may have said that it leaves while the request waited.
 	targetID, failure := n.target.admit(time.Now())
 	if failure != nil {
@@ -56,6 +58,7 @@
 	sent.Deadline = x.deadline
 	response, failure := n.do(ctx, &sent, targetID)
 	own, total := n.running.end(time.Now(), x)
+	n.metrics.atTarget.Update(total.Seconds())
 	n.gate.Release(id, sampleOf(response, failure, own, total))
 	visited, dependencyFailed := n.running.outcome(x)
 	reply := &message.Reply{Failure: failure, Cutoffs: n.cutoffsBelow(visited, time.Now()), DependencyFailed: dependencyFailed}
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -68,6 +68,8 @@
 		reply = n.callPeer(ctx, address, call)
 	}
 	now := time.Now()
+	n.metrics.sent.Inc()
+	n.metrics.hop.Update(now.Sub(start).Seconds())
 	n.directory.Done(now, call.Service, id, resultOf(int(call.Importance), now.Sub(start), reply))
 	n.observeCutoffs(call.Service, id, reply, now)
 	return reply
@@ -123,7 +125,11 @@
 	if q.attempts >= max(q.route.MaxAttempts, 1) || time.Until(q.call.Deadline) < minTimeLeft {
 		return false
 	}
-	return f.node.budgets.take(time.Now(), f.node.runsOf(q.route, q.call.Service))
+	allowed := f.node.budgets.take(time.Now(), f.node.runsOf(q.route, q.call.Service))
+	if allowed {
+		f.node.metrics.retries.Inc()
+	}
+	return allowed
 }
 
 // reachedTarget reports whether an attempt that did not run arrived at a target
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -18,13 +18,12 @@
 // MemberChanged implements gossip.Delegate.
 func (d *delegate) MemberChanged(m membership.Member) {
 	n := d.node
+	<-n.joined
 	gone := n.directory.Update(time.Now(), m)
 	if gone != "" {
 		n.peers.Remove(gone)
 	}
-	if n.gossip != nil {
-		n.budgets.resize(time.Now(), present(n.gossip.Members()))
-	}
+	n.budgets.resize(time.Now(), present(n.gossip.Members()))
 	n.log.Info("member changed", "member", m.ID.String(), "state", m.State.String(), "service", m.Meta.Service,
 		"target_state", m.Meta.TargetState.String(), "peer", m.Meta.PeerAddr.String(), "incarnation", m.Incarnation)
 }
--- /dev/null
+++ b/mesh/metrics.go
@@ -0,0 +1,65 @@
+package mesh
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/goldcrestsail/goldcrestsail/kind"
+)
+
+// nodeMetrics are the metrics of one node. docs/OPERATIONS.md lists them; a test
+// compares the list with what is served.
+type nodeMetrics struct {
+	set                       *metrics.Set
+	shedEarly, retries, sent  *metrics.Counter
+	malformed, reportsIgnored *metrics.Counter
+	hop, atTarget, queued     *metrics.Histogram
+}
+
+func newNodeMetrics(n *Node) *nodeMetrics {
+	set := metrics.NewSet()
+	m := &nodeMetrics{
+		set:            set,
+		shedEarly:      set.NewCounter("goldcrestsail_chains_refused_total"),
+		retries:        set.NewCounter("goldcrestsail_repeats_total"),
+		sent:           set.NewCounter("goldcrestsail_attempts_total"),
+		malformed:      set.NewCounter("goldcrestsail_malformed_total"),
+		reportsIgnored: set.NewCounter("goldcrestsail_reports_ignored_total"),
+		hop:            set.NewHistogram("goldcrestsail_hop_seconds"),
+		atTarget:       set.NewHistogram("goldcrestsail_target_seconds"),
+		queued:         set.NewHistogram("goldcrestsail_queue_seconds"),
+	}
+	gauge := func(name string, value func() float64) { set.NewGauge("goldcrestsail_"+name, value) }
+	gauge("config_version", func() float64 { return float64(n.configuration.version()) })
+	gauge("config_age_seconds", func() float64 { return n.configuration.age(time.Now()).Seconds() })
+	gauge("requests_in_progress", func() float64 { return float64(n.work.Load()) })
+	gauge("caller_connections", func() float64 { return float64(n.callers.Connections()) })
+	gauge("target_connections_opened", func() float64 { return float64(n.client.Dials()) })
+	gauge("target_running", func() float64 { s, _ := n.gate.Stats(); return float64(s.Running) })
+	gauge("target_waiting", func() float64 { s, _ := n.gate.Stats(); return float64(s.Waiting) })
+	gauge("target_limit", func() float64 { s, _ := n.gate.Stats(); return float64(s.Limit) })
+	gauge("cutoff", func() float64 { return float64(n.gate.Cutoff()) })
+	gauge("members", func() float64 { return float64(present(n.gossip.Members())) })
+	gauge("gossip_bytes_sent", func() float64 { return float64(n.gossip.Stats().BytesSent) })
+	return m
+}
+
+// answered counts a request of a caller by route, outcome and kind. Routes that
+// are not published have no label, so that callers cannot make up metrics.
+func (m *nodeMetrics) answered(q *request, status int, failure *kind.Error, took time.Duration) {
+	route, root := "", "false"
+	if q.route != nil {
+		route = q.route.Name
+	}
+	if q.root {
+		root = "true"
+	}
+	outcome := "answered"
+	if failure != nil {
+		outcome = string(failure.Kind)
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("goldcrestsail_requests_total{route=%q,root=%q,outcome=%q,status=\"%d\"}", route, root, outcome, status)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf("goldcrestsail_request_seconds{route=%q}", route)).Update(took.Seconds())
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -44,9 +44,10 @@
 
 // Node is the process beside one target. It is safe for concurrent use.
 type Node struct {
-	config Config
-	id     uuid.UUID
-	log    hclog.Logger
+	config  Config
+	id      uuid.UUID
+	log     hclog.Logger
+	metrics *nodeMetrics
 
 	configuration *configuration
 	target        *target
@@ -64,7 +65,9 @@
 
 	callers    *httpconn.Server
 	peerServer *peerlink.Server
-	gossip     *gossip.Transport
+	// gossip is set when joined is closed.
+	gossip *gossip.Transport
+	joined chan struct{}
 
 	service  atomic.Pointer[string]
 	draining atomic.Bool
@@ -100,6 +103,7 @@
 	n := &Node{
 		config: config, id: uuid.New(), log: config.Logger,
 		configuration: newConfiguration(), target: newTarget(config.ReportInterval), gate: gate.New(time.Now()),
+		joined:  make(chan struct{}),
 		running: newRunning(), peers: peerlink.NewPool(), budgets: newBudgets(config.Budget),
 	}
 	n.client = httpconn.NewTarget(httpconn.TargetConfig{Names: config.Headers, Address: config.TargetAddress})
@@ -113,10 +117,12 @@
 	n.callers = &httpconn.Server{
 		Names: config.Headers, Handle: n.serve, Limits: n.limits, DefaultTimeout: defaultTimeout, ParentOf: config.ParentOf,
 		Malformed: func(remote string, err error) {
+			n.metrics.malformed.Inc()
 			n.log.Warn("request rejected as malformed", "remote", remote, "error", err)
 		},
 	}
 	n.peerServer = &peerlink.Server{Handle: n.servePeer, Config: n.configuration.encode}
+	n.metrics = newNodeMetrics(n)
 	return n
 }
 
@@ -163,6 +169,7 @@
 		Listen: listen, Delegate: &delegate{n}, Logger: n.log.Named("gossip"),
 		Membership: membership.Config{ID: n.id, Meta: n.meta(), Seeds: seeds},
 	})
+	close(n.joined)
 	return err
 }
 
--- a/mesh/reports.go
+++ b/mesh/reports.go
@@ -36,6 +36,7 @@
 	after := n.target.tracker.Current(now)
 	n.target.mu.Unlock()
 	if !news {
+		n.metrics.reportsIgnored.Inc()
 		n.log.Debug("report of the target ignored", "target", r.TargetID, "born", r.Born, "seq", r.Seq, "state", r.State.String(), "seq_known", before.Seq)
 		return nil
 	}
@@ -135,9 +136,6 @@
 			n.client.CloseIdle()
 		}
 	}
-	if n.gossip == nil {
-		return
-	}
 	if meta := n.meta(); meta != n.gossip.Self().Meta {
 		n.gossip.UpdateMeta(meta)
 	}
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -54,8 +54,11 @@
 	}
 	n.logRequest(q, r, reply, failure, now)
 	if failure != nil {
-		return answer(failure, r.Deadline.Sub(now), n.random())
+		response := answer(failure, r.Deadline.Sub(now), n.random())
+		n.metrics.answered(q, response.Status, failure, now.Sub(r.Arrived))
+		return response
 	}
+	n.metrics.answered(q, reply.Response.Status, nil, now.Sub(r.Arrived))
 	if reply.Response.Status < http.StatusInternalServerError {
 		n.learnChain(q.route, reply.Visited)
 	}
@@ -122,6 +125,7 @@
 	verdict := n.chains.table.Check(q.route.Name, q.call.Service, position, now)
 	n.chains.mu.Unlock()
 	if verdict.Refuse {
+		n.metrics.shedEarly.Inc()
 		return kind.Newf(kind.ShedEarly, "service %s admits new chains up to %.2f, this one has %.2f; known for %d ms",
 			verdict.Service, verdict.Cutoff, position, verdict.Age.Milliseconds())
 	}
