Trial: cut demand at a target that refuses to what the repeats allow

Pattern: all targets of a deep service refuse 55% of their requests. Chains of five calls then hardly ever succeed, and repeats are bounded.

--- a/gate/config.go
+++ b/gate/config.go
@@ -11,4 +11,7 @@
 	ColdStart time.Duration
 	// QueueTimeout bounds the time that a request waits.
 	QueueTimeout time.Duration
+	// RetryRatio is how many repeats of refused requests there may be for each
+	// request; 0 means that it is not known.
+	RetryRatio float64
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -23,6 +23,14 @@
 // heldWeight is the weight of one request in the mean time that a slot is taken.
 const heldWeight = 0.02
 
+const (
+	// refusedWeight is the weight of one request in the share that the target
+	// refuses, and minRefused the share from which it counts: below it a single
+	// repeat saves nearly all.
+	refusedWeight = 0.02
+	minRefused    = 0.25
+)
+
 // Gate runs the admission queue and the concurrency limit of the target beside
 // the node. It is safe for concurrent use.
 type Gate struct {
@@ -45,6 +53,12 @@
 	// for which a slot is taken, in seconds.
 	started map[admission.ID]time.Time
 	held    float64
+	// refused is the share of recent requests that the target itself refused.
+	refused float64
+	// demand counts the requests that arrived, without repeats, and retryRatio is
+	// how many repeats there may be for each.
+	demand     demandWindow
+	retryRatio float64
 }
 
 // New returns a gate with one slot.
@@ -67,6 +81,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limiter.Configure(now, limit.Config{Slots: c.Slots, MinLimit: c.MinLimit, ColdStart: c.ColdStart})
+	g.retryRatio = c.RetryRatio
 	g.settleLocked(now, g.queue.Configure(now, admission.Config{QueueTimeout: c.QueueTimeout}))
 	g.settleLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
 }
@@ -88,22 +103,23 @@
 }
 
 // Acquire waits for a slot. The error has run state not-run.
-//
-// maxWait replaces the queue timeout when it is positive.
-func (g *Gate) Acquire(ctx context.Context, rank admission.Rank, deadline time.Time, maxWait time.Duration) (admission.ID, *kind.Error) {
+func (g *Gate) Acquire(ctx context.Context, r Request) (admission.ID, *kind.Error) {
 	now := time.Now()
 	decided := make(chan admission.Decision, 1)
 	g.mu.Lock()
 	g.nextID++
 	id := g.nextID
 	g.waiting[id] = decided
-	g.importance[id] = rank.Importance()
-	g.byImportance[rank.Importance()]++
+	g.importance[id] = r.Rank.Importance()
+	g.byImportance[r.Rank.Importance()]++
 	g.settleLocked(now, g.queue.Offer(now, admission.Request{
-		ID: id, Rank: rank, Deadline: deadline, ServiceTime: min(g.limiter.ServiceTime(), deadline.Sub(now)/maxServiceShare),
-		MaxWait: maxWait,
+		ID: id, Rank: r.Rank, Deadline: r.Deadline, ServiceTime: min(g.limiter.ServiceTime(), r.Deadline.Sub(now)/maxServiceShare),
+		MaxWait: r.MaxWait,
 	}))
-	g.control.Arrived(rank.Importance())
+	if !r.Repeat {
+		g.control.Arrived(r.Rank.Importance())
+		g.demand.add(now)
+	}
 	g.mu.Unlock()
 
 	select {
@@ -134,9 +150,7 @@
 	defer g.mu.Unlock()
 	if began, ok := g.started[id]; ok {
 		delete(g.started, id)
-		if sample != nil && !sample.Refused {
-			g.held += heldWeight * (now.Sub(began).Seconds() - g.held)
-		}
+		g.learnLocked(sample, now.Sub(began))
 	}
 	if sample != nil {
 		sample.InFlight = g.queue.Stats(now).Running
@@ -147,12 +161,31 @@
 	g.settleLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
 }
 
-// capacityLocked returns how many requests per second a number of slots serves.
-func (g *Gate) capacityLocked(slots int) float64 {
+// learnLocked learns from a request that held a slot for some time.
+func (g *Gate) learnLocked(sample *limit.Sample, took time.Duration) {
+	switch {
+	case sample == nil:
+	case sample.Refused:
+		g.refused += refusedWeight * (1 - g.refused)
+	default:
+		g.refused -= refusedWeight * g.refused
+		g.held += heldWeight * (took.Seconds() - g.held)
+	}
+}
+
+// capacityLocked returns how many requests per second are served: as many as
+// the slots allow and, when the target refuses a part of the requests by itself,
+// as many as the repeats allow that each of them then needs. A request that is
+// refused with probability q needs q/(1-q) repeats on average.
+func (g *Gate) capacityLocked(now time.Time, slots int) float64 {
 	if g.held <= 0 {
 		return 0
 	}
-	return float64(slots) / g.held
+	capacity := float64(slots) / g.held
+	if g.refused > minRefused && g.retryRatio > 0 {
+		capacity = min(capacity, max(g.retryRatio*g.demand.perSecond(now)*(1-g.refused)/g.refused, 1))
+	}
+	return capacity
 }
 
 // SetInForce tells the gate the cutoff that the starts of chains apply.
@@ -217,7 +250,7 @@
 	g.limiter.Tick(now)
 	stats := g.queue.Stats(now)
 	g.control.Tick(now, pressure.Input{
-		Capacity: g.capacityLocked(stats.Limit), Slots: stats.Limit, Waiting: stats.Waiting, InForce: g.inForce,
+		Capacity: g.capacityLocked(now, stats.Limit), Slots: stats.Limit, Waiting: stats.Waiting, InForce: g.inForce,
 	})
 	g.settleLocked(now, g.queue.Expire(now))
 	g.settleLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/goldcrestsail/goldcrestsail/admission"
 	"github.com/goldcrestsail/goldcrestsail/limit"
 )
 
@@ -19,7 +18,7 @@
 	g.Configure(time.Now(), Config{Slots: 1, MinLimit: 1, QueueTimeout: time.Second})
 	const timeout = time.Minute
 	for range 100 {
-		id, failure := g.Acquire(context.Background(), admission.Rank(0), time.Now().Add(timeout), 0)
+		id, failure := g.Acquire(context.Background(), Request{Deadline: time.Now().Add(timeout)})
 		require.Nil(t, failure)
 		g.Release(id, &limit.Sample{Latency: timeout, Total: timeout, TimedOut: true})
 	}
--- a/mesh/budgets.go
+++ b/mesh/budgets.go
@@ -15,11 +15,14 @@
 	// slackShare is the part of the stated slack that all nodes together may use
 	// at once.
 	slackShare = 0.5
-	// saved is the time for which what first attempts earn may be saved up, so
-	// that a request that causes several runs at one service can be repeated.
-	saved = 2 * time.Second
-	// rateInterval is how often the rate of first attempts is measured.
-	rateInterval = time.Second
+	// reservedPerImportance is the part of the saved repeats that requests leave,
+	// for each step down in importance, to more important ones.
+	reservedPerImportance = 0.3
+	maxReserved           = 0.9
+	// rateInterval is how often what may be saved is computed anew, savedIntervals
+	// the number of intervals whose earnings may be: those of the window before.
+	rateInterval   = time.Second
+	savedIntervals = 10
 )
 
 // budgets holds this node's part of the retry budget of each service. Nodes need
@@ -35,21 +38,34 @@
 // serviceBudget is this node's part of the budget of one service.
 type serviceBudget struct {
 	*retry.Budget
-	// attempts counts the first attempts since measured; perSecond is the rate in
-	// the interval before.
-	attempts, perSecond float64
-	measured            time.Time
+	// attempts counts the first attempts since measured, and recent those of the
+	// intervals before.
+	attempts float64
+	recent   [savedIntervals]float64
+	measured time.Time
 }
 
 func newBudgets(c BudgetConfig) *budgets {
 	return &budgets{config: c, nodes: 1, services: map[string]*serviceBudget{}}
 }
 
-// parts returns this node's part for a service with a rate of first attempts.
-func (b *budgets) parts(perSecond float64) retry.BudgetConfig {
+// sum returns the first attempts of the recent intervals.
+func (s *serviceBudget) sum() float64 {
+	sum := 0.0
+	for _, n := range s.recent {
+		sum += n
+	}
+	return sum
+}
+
+// parts returns this node's part for a service with some recent first attempts.
+// What they have earned may be saved for one window: the bound of a window
+// follows from its own requests or those of the window before, so half of the
+// ratio can be spent from each.
+func (b *budgets) parts(recent float64) retry.BudgetConfig {
 	slack := b.config.Slack * slackShare / float64(max(b.nodes, 1))
 	c := retry.BudgetConfig{Ratio: b.config.Ratio * budgetShare}
-	c.Burst = slack + c.Ratio*perSecond*saved.Seconds()
+	c.Burst = slack + c.Ratio*recent
 	if b.config.Window > 0 {
 		c.MinRatePerSecond = slack / 2 / b.config.Window.Seconds()
 	}
@@ -65,7 +81,7 @@
 	}
 	b.config = c
 	for _, s := range b.services {
-		s.Configure(b.parts(s.perSecond), now)
+		s.Configure(b.parts(s.sum()), now)
 	}
 }
 
@@ -78,7 +94,7 @@
 	}
 	b.nodes = nodes
 	for _, s := range b.services {
-		s.Configure(b.parts(s.perSecond), now)
+		s.Configure(b.parts(s.sum()), now)
 	}
 }
 
@@ -98,20 +114,26 @@
 	s := b.ofLocked(now, service)
 	s.attempts++
 	if elapsed := now.Sub(s.measured); elapsed >= rateInterval {
-		s.perSecond, s.attempts, s.measured = s.attempts/elapsed.Seconds(), 0, now
-		s.Configure(b.parts(s.perSecond), now)
+		passed := min(int(elapsed/rateInterval), savedIntervals)
+		copy(s.recent[:], s.recent[passed:])
+		clear(s.recent[savedIntervals-passed:])
+		s.recent[savedIntervals-passed] = s.attempts
+		s.attempts, s.measured = 0, now
+		s.Configure(b.parts(s.sum()), now)
 	}
 	s.Attempt(now)
 }
 
 // take reports whether a request may be repeated that runs so often at each
 // service, and pays for it if so: the calls of a repeated run are repeats as
-// well.
-func (b *budgets) take(now time.Time, runs map[string]float64) bool {
+// well. Less important requests leave a part of what is saved to the others.
+func (b *budgets) take(now time.Time, runs map[string]float64, importance int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for service, n := range runs {
-		if b.ofLocked(now, service).Tokens(now) < max(n, 1) {
+		s := b.ofLocked(now, service)
+		reserve := b.parts(s.sum()).Burst * min(reservedPerImportance*float64(importance), maxReserved)
+		if s.Tokens(now) < max(n, 1)+reserve {
 			return false
 		}
 	}
@@ -121,6 +143,13 @@
 	return true
 }
 
+// ratio returns how many repeats there may be for each request.
+func (b *budgets) ratio() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.config.Ratio
+}
+
 // tokens returns the repeats of each service that could be sent at once.
 func (b *budgets) tokens(now time.Time) map[string]float64 {
 	b.mu.Lock()
--- a/mesh/budgets_test.go
+++ b/mesh/budgets_test.go
@@ -31,7 +31,7 @@
 				now = now.Add(time.Second / time.Duration(rate))
 				for _, b := range all {
 					b.attempt(now, "below")
-					if b.take(now, map[string]float64{"below": float64(runs)}) {
+					if b.take(now, map[string]float64{"below": float64(runs)}, 0) {
 						repeats[s] += float64(runs)
 					}
 				}
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/goldcrestsail/goldcrestsail/admission"
+	"github.com/goldcrestsail/goldcrestsail/gate"
 	"github.com/goldcrestsail/goldcrestsail/httpconn"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/limit"
@@ -42,7 +43,7 @@
 	}
 	rank := admission.MakeRank(int(call.Importance), call.Admitted, call.ChainLevel)
 	offered := time.Now()
-	id, failure := n.gate.Acquire(ctx, rank, call.Deadline, call.MaxWait)
+	id, failure := n.gate.Acquire(ctx, gate.Request{Rank: rank, Deadline: call.Deadline, MaxWait: call.MaxWait, Repeat: call.Repeat})
 	if failure != nil {
 		return &message.Reply{Failure: failure}
 	}
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -15,6 +15,11 @@
 	// maxUnsent bounds the attempts that reached no target, such as at nodes that
 	// have ended or refuse work.
 	maxUnsent = 4
+	// maxRefusals bounds how often targets are asked that refuse a request. At a
+	// share of one half, one request in 256 is refused so often.
+	maxRefusals = 8
+	// refusalPause lets a target that is full for a moment end a request.
+	refusalPause = 3 * time.Millisecond
 	// The margin between a caller's deadline and the one that the target's node
 	// is told lets the reply of that node arrive in time.
 	replyMargin = 4 * time.Millisecond
@@ -31,6 +36,8 @@
 	unsent int
 	// uncertain reports that an attempt may have run.
 	uncertain bool
+	// refusedBy lists the targets that refused the request, in order.
+	refusedBy []routing.TargetID
 }
 
 // forward sends a request to a target of its service, and again to another one
@@ -89,6 +96,10 @@
 func (f *forwarding) pick(now time.Time) (routing.TargetID, string, *kind.Error) {
 	call := f.request.call
 	in := routing.PickInput{Exclude: f.tried, MayProbe: !call.Unsafe, Importance: int(call.Importance)}
+	if n := len(f.refusedBy); n >= max(f.request.route.MaxAttempts, 1) {
+		// The request may go to no further target, but to those that refused it.
+		in = routing.PickInput{Pinned: f.refusedBy[n%max(f.request.route.MaxAttempts, 1)]}
+	}
 	return f.node.directory.Pick(now, call.Service, in)
 }
 
@@ -121,17 +132,42 @@
 		f.unsent++
 		return f.unsent < maxUnsent && !overloaded(failure)
 	}
+	if failure != nil && notRun {
+		f.refusedBy = append(f.refusedBy, f.tried[len(f.tried)-1])
+		q.call.Repeat = true
+		if len(f.refusedBy) > maxRefusals || !f.pause(ctx) {
+			return false
+		}
+		return f.repeat()
+	}
 	q.attempts++
 	if q.attempts >= max(q.route.MaxAttempts, 1) || time.Until(q.call.Deadline) < minTimeLeft {
 		return false
 	}
-	allowed := f.node.budgets.take(time.Now(), f.node.runsOf(q.route, q.call.Service))
+	return f.repeat()
+}
+
+// repeat pays for a further attempt, if the budget allows one.
+func (f *forwarding) repeat() bool {
+	q := f.request
+	allowed := f.node.budgets.take(time.Now(), f.node.runsOf(q.route, q.call.Service), int(q.call.Importance))
 	if allowed {
 		f.node.metrics.retries.Inc()
 	}
 	return allowed
 }
 
+// pause waits a moment before a target is asked again, and reports whether there
+// is time left for that.
+func (f *forwarding) pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(refusalPause):
+		return time.Until(f.request.call.Deadline) >= minTimeLeft
+	}
+}
+
 // reachedTarget reports whether an attempt that did not run arrived at a target
 // all the same, which counts against the retry budget.
 func reachedTarget(f *kind.Error) bool { return f.Kind == kind.TargetRefused }
--- a/message/call.go
+++ b/message/call.go
@@ -17,6 +17,8 @@
 	ChainLevel uint8
 	// Admitted reports that the chain was admitted by an earlier hop.
 	Admitted bool
+	// Repeat reports that a target has refused the request before.
+	Repeat bool
 	// MaxWait bounds the time in the queue of the target's node; 0 leaves it to
 	// that node.
 	MaxWait time.Duration
--- a/node/execute.go
+++ b/node/execute.go
@@ -10,6 +10,7 @@
 	"github.com/goldcrestsail/goldcrestsail/admission"
 	"github.com/goldcrestsail/goldcrestsail/chain"
 	"github.com/goldcrestsail/goldcrestsail/claims"
+	"github.com/goldcrestsail/goldcrestsail/gate"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/limit"
 	"github.com/goldcrestsail/goldcrestsail/peerrpc"
@@ -62,7 +63,7 @@
 	if x.call.NonIdempotent {
 		return n.runOnce(ctx, x)
 	}
-	id, failure := n.gate.Acquire(ctx, x.rank, x.deadline, 0)
+	id, failure := n.gate.Acquire(ctx, gate.Request{Rank: x.rank, Deadline: x.deadline})
 	if failure != nil {
 		return nil, failure
 	}
@@ -113,7 +114,7 @@
 		return replayed(verdict.Response)
 	}
 	x.token = verdict.Token
-	id, failure := n.gate.Acquire(ctx, x.rank, x.deadline, 0)
+	id, failure := n.gate.Acquire(ctx, gate.Request{Rank: x.rank, Deadline: x.deadline})
 	if failure != nil {
 		x.token.Release()
 		return nil, failure
--- a/peerlink/encode_call.go
+++ b/peerlink/encode_call.go
@@ -23,6 +23,7 @@
 	callChainLevel
 	callAdmitted
 	callMaxWait
+	callRepeat
 )
 
 // encodeCall encodes a call without its body. The time left is in microseconds,
@@ -41,6 +42,7 @@
 	b = appendNumber(b, callImportance, uint64(c.Importance))
 	b = appendNumber(b, callChainLevel, uint64(c.ChainLevel))
 	b = appendNumber(b, callMaxWait, uint64(max(0, c.MaxWait.Microseconds())))
+	b = appendFlag(b, callRepeat, c.Repeat)
 	return appendFlag(b, callAdmitted, c.Admitted)
 }
 
@@ -62,6 +64,8 @@
 			c.Importance = uint8(min(v, 255))
 		case callChainLevel:
 			c.ChainLevel = uint8(min(v, 255))
+		case callRepeat:
+			c.Repeat = v != 0
 		case callMaxWait:
 			c.MaxWait = microseconds(v)
 		case callAdmitted:
--- a/peerlink/peerlink_test.go
+++ b/peerlink/peerlink_test.go
@@ -41,7 +41,7 @@
 			return message.Field{Name: text.Draw(t, "name"), Value: text.Draw(t, "value")}
 		}), 0, 4)
 		c := &message.Call{Service: "s" + text.Draw(t, "service"), CallerService: text.Draw(t, "caller"), Unsafe: rapid.Bool().Draw(t, "unsafe"),
-			Importance: rapid.Uint8().Draw(t, "importance"), ChainLevel: rapid.Uint8().Draw(t, "level"), Admitted: rapid.Bool().Draw(t, "admitted"),
+			Importance: rapid.Uint8().Draw(t, "importance"), ChainLevel: rapid.Uint8().Draw(t, "level"), Admitted: rapid.Bool().Draw(t, "admitted"), Repeat: rapid.Bool().Draw(t, "repeat"),
 			MaxWait: time.Duration(rapid.IntRange(0, 1e6).Draw(t, "wait")) * time.Microsecond}
 		c.ID, c.Method, c.URI, c.Host = text.Draw(t, "id"), "M"+text.Draw(t, "method"), "/"+text.Draw(t, "uri"), text.Draw(t, "host")
 		c.Header, c.Body = header.Draw(t, "header"), rapid.SliceOf(rapid.Byte()).Draw(t, "body")
