--- a/gate/config.go
+++ b/gate/config.go
@@ -11,7 +11,4 @@
 	ColdStart time.Duration
 	// QueueTimeout bounds the time that a request waits.
 	QueueTimeout time.Duration
-	// RetryRatio is how many repeats of refused requests there may be for each
-	// request; 0 means that it is not known.
-	RetryRatio float64
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -23,14 +23,6 @@
 // heldWeight is the weight of one request in the mean time that a slot is taken.
 const heldWeight = 0.02
 
-const (
-	// refusedWeight is the weight of one request in the share that the target
-	// refuses, and minRefused the share from which it counts: below it a single
-	// repeat saves nearly all.
-	refusedWeight = 0.02
-	minRefused    = 0.25
-)
-
 // Gate runs the admission queue and the concurrency limit of the target beside
 // the node. It is safe for concurrent use.
 type Gate struct {
@@ -53,12 +45,6 @@
 	// for which a slot is taken, in seconds.
 	started map[admission.ID]time.Time
 	held    float64
-	// refused is the share of recent requests that the target itself refused.
-	refused float64
-	// demand counts the requests that arrived, without repeats, and retryRatio is
-	// how many repeats there may be for each.
-	demand     demandWindow
-	retryRatio float64
 }
 
 // New returns a gate with one slot.
@@ -81,7 +67,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limiter.Configure(now, limit.Config{Slots: c.Slots, MinLimit: c.MinLimit, ColdStart: c.ColdStart})
-	g.retryRatio = c.RetryRatio
 	g.settleLocked(now, g.queue.Configure(now, admission.Config{QueueTimeout: c.QueueTimeout}))
 	g.settleLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
 }
@@ -118,7 +103,6 @@
 	}))
 	if !r.Repeat {
 		g.control.Arrived(r.Rank.Importance())
-		g.demand.add(now)
 	}
 	g.mu.Unlock()
 
@@ -150,7 +134,9 @@
 	defer g.mu.Unlock()
 	if began, ok := g.started[id]; ok {
 		delete(g.started, id)
-		g.learnLocked(sample, now.Sub(began))
+		if sample != nil && !sample.Refused {
+			g.held += heldWeight * (now.Sub(began).Seconds() - g.held)
+		}
 	}
 	if sample != nil {
 		sample.InFlight = g.queue.Stats(now).Running
@@ -161,31 +147,12 @@
 	g.settleLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
 }
 
-// learnLocked learns from a request that held a slot for some time.
-func (g *Gate) learnLocked(sample *limit.Sample, took time.Duration) {
-	switch {
-	case sample == nil:
-	case sample.Refused:
-		g.refused += refusedWeight * (1 - g.refused)
-	default:
-		g.refused -= refusedWeight * g.refused
-		g.held += heldWeight * (took.Seconds() - g.held)
-	}
-}
-
-// capacityLocked returns how many requests per second are served: as many as
-// the slots allow and, when the target refuses a part of the requests by itself,
-// as many as the repeats allow that each of them then needs. A request that is
-// refused with probability q needs q/(1-q) repeats on average.
-func (g *Gate) capacityLocked(now time.Time, slots int) float64 {
+// capacityLocked returns how many requests per second a number of slots serves.
+func (g *Gate) capacityLocked(slots int) float64 {
 	if g.held <= 0 {
 		return 0
 	}
-	capacity := float64(slots) / g.held
-	if g.refused > minRefused && g.retryRatio > 0 {
-		capacity = min(capacity, max(g.retryRatio*g.demand.perSecond(now)*(1-g.refused)/g.refused, 1))
-	}
-	return capacity
+	return float64(slots) / g.held
 }
 
 // SetInForce tells the gate the cutoff that the starts of chains apply.
@@ -250,7 +217,7 @@
 	g.limiter.Tick(now)
 	stats := g.queue.Stats(now)
 	g.control.Tick(now, pressure.Input{
-		Capacity: g.capacityLocked(now, stats.Limit), Slots: stats.Limit, Waiting: stats.Waiting, InForce: g.inForce,
+		Capacity: g.capacityLocked(stats.Limit), Slots: stats.Limit, Waiting: stats.Waiting, InForce: g.inForce,
 	})
 	g.settleLocked(now, g.queue.Expire(now))
 	g.settleLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
--- a/mesh/budgets.go
+++ b/mesh/budgets.go
@@ -143,13 +143,6 @@
 	return true
 }
 
-// ratio returns how many repeats there may be for each request.
-func (b *budgets) ratio() float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.config.Ratio
-}
-
 // tokens returns the repeats of each service that could be sent at once.
 func (b *budgets) tokens(now time.Time) map[string]float64 {
 	b.mu.Lock()
--- a/mesh/reports.go
+++ b/mesh/reports.go
@@ -130,7 +130,7 @@
 	n.target.mu.Unlock()
 	if changed {
 		usable := usableSlots(r.Slots)
-		n.gate.Configure(now, gate.Config{Slots: usable, MinLimit: usable, QueueTimeout: queueTimeout, RetryRatio: n.budgets.ratio()})
+		n.gate.Configure(now, gate.Config{Slots: usable, MinLimit: usable, QueueTimeout: queueTimeout})
 		if started {
 			n.gate.TargetStarted(now)
 			n.client.CloseIdle()
