--- a/httpconn/server_conn.go
+++ b/httpconn/server_conn.go
@@ -276,7 +276,7 @@
 	b = append(b, http.StatusText(r.Status)...)
 	b = append(b, "\r\n"...)
 	b = appendFields(b, r.Header)
-	if !r.FromTarget && x.requestID != "" {
+	if x.requestID != "" {
 		b = appendField(b, names.RequestID, x.requestID)
 	}
 	if r.RetryAfter > 0 {
--- a/httpconn/target.go
+++ b/httpconn/target.go
@@ -191,7 +191,7 @@
 	r := &TargetResponse{
 		Response: message.Response{
 			Status: p.response.StatusCode, Body: p.body, FromTarget: true,
-			Header: endToEnd(h, names.TargetLoad, names.TargetID),
+			Header: endToEnd(h, names.RequestID, names.TargetLoad, names.TargetID),
 		},
 		NotRun:      h.Get(names.NotRun) != "",
 		OtherTarget: p.response.StatusCode == http.StatusMisdirectedRequest,
--- a/membership/event.go
+++ b/membership/event.go
@@ -32,7 +32,7 @@
 type LocalBroadcast struct{ Broadcast Broadcast }
 
 // AddSeeds adds addresses to join through, such as those found after the start,
-// and tries one of them at once.
+// and tries some of them at once.
 type AddSeeds struct{ Addrs []netip.AddrPort }
 
 func (Tick) event()            {}
--- a/membership/timers.go
+++ b/membership/timers.go
@@ -191,19 +191,49 @@
 	n.ping(addr, nil, n.seq)
 }
 
-// maxSeeds bounds the seeds of a node. The newest ones are kept, because older
-// addresses are the more likely ones to be gone.
-const maxSeeds = 256
+const (
+	// maxSeeds bounds the seeds of a node. The newest ones are kept, because older
+	// addresses are the more likely ones to be gone.
+	maxSeeds = 256
+	// joinPings is how many seeds are pinged when they are added. When all
+	// processes restart at once, none knows the others, and one seed at a time
+	// takes seconds until everybody is found.
+	joinPings = 8
+	// joinSync is when a digest is sent after that: the answers have arrived.
+	joinSync = 50 * time.Millisecond
+)
 
-// addSeeds remembers further addresses to join through.
+// addSeeds remembers further addresses to join through and pings some of those
+// that are not members.
 func (n *Node) addSeeds(addrs []netip.AddrPort) {
+	var unknown []netip.AddrPort
 	for _, addr := range addrs {
-		if addr = unmapAddrPort(addr); addr != n.self.Addr && !slices.Contains(n.cfg.Seeds, addr) {
+		addr = unmapAddrPort(addr)
+		if addr == n.self.Addr {
+			continue
+		}
+		if !slices.Contains(n.cfg.Seeds, addr) {
 			n.cfg.Seeds = append(n.cfg.Seeds, addr)
-			n.nextDeadProbe = n.now
+		}
+		if n.byAddr[addr] == nil {
+			unknown = append(unknown, addr)
 		}
 	}
 	if extra := len(n.cfg.Seeds) - maxSeeds; extra > 0 {
 		n.cfg.Seeds = slices.Clone(n.cfg.Seeds[extra:])
 	}
+	if len(unknown) == 0 || n.leaving {
+		return
+	}
+	n.rng.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
+	for _, addr := range unknown[:min(len(unknown), joinPings)] {
+		if !n.mayAfford(200, 0) {
+			break
+		}
+		n.seq++
+		n.ping(addr, nil, n.seq)
+	}
+	if n.nextSync.After(n.now.Add(joinSync)) {
+		n.nextSync = n.now.Add(joinSync)
+	}
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -29,11 +29,11 @@
 const (
 	// domainFactor, fullUtilization and saturatedFactor keep calls in the failure
 	// domain, since bytes between domains are dear: a target there may be three
-	// times as slow, as long as it has a slot free, and a quarter more loaded when
-	// all are full.
+	// times as slow, as long as it has a slot free, and 1.7 times as loaded when all
+	// are full.
 	domainFactor    = 3.0
 	fullUtilization = 1.0
-	saturatedFactor = 1.25
+	saturatedFactor = 1.7
 	// loadLogInterval bounds the lines about an overloaded target.
 	loadLogInterval = 500 * time.Millisecond
 	// defaultTimeout is the time left of a request that states none.
