--- a/gate/gate.go
+++ b/gate/gate.go
@@ -43,8 +43,9 @@
 	inForce pressure.Cutoff
 	// started is when the running requests took their slots, held the mean time
 	// for which a slot is taken, in seconds.
-	started map[admission.ID]time.Time
-	held    float64
+	started     map[admission.ID]time.Time
+	held        float64
+	heldSamples int
 }
 
 // New returns a gate with one slot.
@@ -135,7 +136,10 @@
 	if began, ok := g.started[id]; ok {
 		delete(g.started, id)
 		if sample != nil && !sample.Refused {
-			g.held += heldWeight * (now.Sub(began).Seconds() - g.held)
+			// The first requests are a plain mean; a rising mean from 0 would take a
+			// target that has just started for a fast one.
+			g.heldSamples++
+			g.held += max(heldWeight, 1/float64(g.heldSamples)) * (now.Sub(began).Seconds() - g.held)
 		}
 	}
 	if sample != nil {
