Give a target work until clients have noticed that its node ends

Cause: a node that was told to stop refused calls to its target at once and ended after 3 s, so rolling restarts took one target in three away nearly all the time.

--- a/mesh/drain.go
+++ b/mesh/drain.go
@@ -9,6 +9,10 @@
 	// noticeTime is how long clients go on sending after the node has said that
 	// it is not ready: two checks a second apart, and what is on its way.
 	noticeTime = 2500 * time.Millisecond
+	// servingTime is how long the target goes on getting work. Until clients have
+	// noticed, the node is there anyway, and the target's slots are missed while
+	// nodes are restarted one after the other.
+	servingTime = 2200 * time.Millisecond
 	// listenShare is the part of the grace time after which no connection is
 	// accepted any more, even if the target still makes calls: what begins later
 	// could not end in time.
@@ -19,10 +23,10 @@
 	drainPoll = 20 * time.Millisecond
 )
 
-// Drain ends the node without cutting off requests: it announces the departure,
-// takes no more work for the target, serves what callers still send, and returns
-// when nothing is in progress and clients have had time to notice, or when the
-// grace time is nearly over.
+// Drain ends the node without cutting off requests: it is not ready any more,
+// serves what callers still send, takes no more work for the target a little
+// before they have had time to notice, and returns when nothing is in progress,
+// or when the grace time is nearly over.
 func (n *Node) Drain() {
 	if !n.draining.CompareAndSwap(false, true) {
 		return
@@ -31,11 +35,13 @@
 	grace := time.Duration(n.grace.Load())
 	end := began.Add(grace - exitMargin)
 	n.log.Info("node draining", "in_progress", n.work.Load(), "at_target", n.running.len(), "connections", n.callers.Connections())
-	n.gossip.UpdateMeta(n.meta())
 	n.callers.Drain()
 	listening := true
 	for time.Now().Before(end) {
 		elapsed := time.Since(began)
+		if elapsed >= servingTime && n.closing.CompareAndSwap(false, true) {
+			n.gossip.UpdateMeta(n.meta())
+		}
 		// The target needs connections for the calls of what it still works on.
 		if listening && elapsed >= noticeTime && (n.running.len() == 0 || elapsed >= time.Duration(float64(grace)*listenShare)) {
 			listening = false
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -35,7 +35,7 @@
 	if service := *n.service.Load(); call.Service != service {
 		return &message.Reply{Failure: kind.Newf(kind.Starting, "the target belongs to service %s", service)}
 	}
-	if n.draining.Load() {
+	if n.closing.Load() {
 		return &message.Reply{Failure: kind.New(kind.Draining, "the node beside the target is about to end")}
 	}
 	if _, failure := n.target.admit(time.Now()); failure != nil {
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -73,7 +73,7 @@
 
 // targetState maps the state of the target to what the members are told.
 func (n *Node) targetState(r registration.Report) membership.TargetState {
-	if n.draining.Load() {
+	if n.closing.Load() {
 		return membership.Draining
 	}
 	switch r.State {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -71,6 +71,8 @@
 
 	service  atomic.Pointer[string]
 	draining atomic.Bool
+	// closing reports that the target gets no more work.
+	closing atomic.Bool
 	// grace holds a time.Duration.
 	grace atomic.Int64
 	// work counts requests in progress of callers and of peers.
