--- a/mesh/node.go
+++ b/mesh/node.go
@@ -34,6 +34,8 @@
 	domainFactor    = 3.0
 	fullUtilization = 1.0
 	saturatedFactor = 1.7
+	// maxLatencyFactor lets a target that is twelve times as slow lose its work.
+	maxLatencyFactor = 16.0
 	// loadLogInterval bounds the lines about an overloaded target.
 	loadLogInterval = 500 * time.Millisecond
 	// defaultTimeout is the time left of a request that states none.
@@ -110,7 +112,7 @@
 	}
 	n.client = httpconn.NewTarget(httpconn.TargetConfig{Names: config.Headers, Address: config.TargetAddress})
 	n.directory = directory.New(routing.Options{
-		Node: n.id.String(), DomainFactor: domainFactor, FullUtilization: fullUtilization, SaturatedFactor: saturatedFactor,
+		Node: n.id.String(), DomainFactor: domainFactor, FullUtilization: fullUtilization, SaturatedFactor: saturatedFactor, MaxLatencyFactor: maxLatencyFactor,
 	}, config.FailureDomain, rand.New(rand.NewPCG(seed, 1)))
 	n.chains.rng = rand.New(rand.NewPCG(seed, 2))
 	n.chains.table = chainadmission.NewTable()
--- a/routing/cost.go
+++ b/routing/cost.go
@@ -20,9 +20,6 @@
 	latencyNoise = 1.5
 	// latencyHalfLife is the age at which a latency counts half.
 	latencyHalfLife = 2 * time.Second
-	// maxLatencyFactor bounds the influence of latency, so that a target with
-	// one slow response still gets the calls that correct its average.
-	maxLatencyFactor = 4
 	// outlierLatency is the multiple of the mean latency from which a target
 	// that lets deadlines expire counts as failing.
 	outlierLatency = 2
@@ -93,7 +90,7 @@
 	if g.latency == 0 || t.meanLatency == 0 {
 		return 1
 	}
-	ratio := min(max(g.latency/t.meanLatency, 1.0/maxLatencyFactor), maxLatencyFactor)
+	ratio := min(max(g.latency/t.meanLatency, 1/t.options.MaxLatencyFactor), t.options.MaxLatencyFactor)
 	if ratio > 1/latencyNoise && ratio < latencyNoise {
 		return 1
 	}
--- a/routing/defaults.go
+++ b/routing/defaults.go
@@ -20,6 +20,8 @@
 	DefaultDomainFactor    = 2.0
 	DefaultFullUtilization = 0.8
 	DefaultSaturatedFactor = 1.0
+	// DefaultMaxLatencyFactor is more than the speeds of healthy targets differ.
+	DefaultMaxLatencyFactor = 4.0
 )
 
 func (o *Options) applyDefaults() {
@@ -31,6 +33,7 @@
 	setDefault(&o.DomainFactor, DefaultDomainFactor)
 	setDefault(&o.FullUtilization, DefaultFullUtilization)
 	setDefault(&o.SaturatedFactor, DefaultSaturatedFactor)
+	setDefault(&o.MaxLatencyFactor, DefaultMaxLatencyFactor)
 }
 
 func setDefault[T comparable](field *T, value T) {
--- a/routing/options.go
+++ b/routing/options.go
@@ -28,4 +28,7 @@
 	// leave the failure domain for any difference, also when all targets are
 	// equally full and nothing is gained.
 	SaturatedFactor float64
+	// MaxLatencyFactor bounds the influence of latency, so that a target with one
+	// slow response still gets the calls that correct its average.
+	MaxLatencyFactor float64
 }
