--- a/cmd/goldcrestsail/main.go
+++ b/cmd/goldcrestsail/main.go
@@ -39,7 +39,7 @@
 	parser.Description = "Overload control for service call graphs."
 	parser.Version = version
 	parser.ShowHelpOnUnexpected = false
-	commands := []*command{newNodeCommand(), newPlatformNodeCommand(), newConfigCommand(func() []string { return parser.TrailingArguments }), newDumpCommand(), newDrainCommand(), newReplayCommand(), newDemoCommand()}
+	commands := []*command{newNodeCommand(), newPlatformNodeCommand(), newExplainCommand(func() []string { return parser.TrailingArguments }), newConfigCommand(func() []string { return parser.TrailingArguments }), newDumpCommand(), newDrainCommand(), newReplayCommand(), newDemoCommand()}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.sub, 1)
 	}
--- /dev/null
+++ b/explain/doc.go
@@ -0,0 +1,2 @@
+// Package explain finds the life of one request in the logs of several nodes.
+package explain
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -24,9 +24,7 @@
 	reply := n.executeAdmitted(ctx, call)
 	reply.Load = n.gate.Load()
 	if reply.Failure != nil {
-		n.log.Debug("call not answered by the target", "request_id", call.ID, "kind", reply.Failure.Kind,
-			"run_state", reply.Failure.Run, "detail", reply.Failure.Detail, "running", reply.Load.Running,
-			"waiting", reply.Load.Waiting, "limit", reply.Load.Limit)
+		n.logRefusal(call, reply)
 	}
 	return reply
 }
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -77,6 +77,10 @@
 	now := time.Now()
 	n.metrics.sent.Inc()
 	n.metrics.hop.Update(now.Sub(start).Seconds())
+	f.request.sent++
+	if reply.Failure != nil {
+		n.logAttempt(call, string(id), id == n.selfID(), reply.Failure, now.Sub(start))
+	}
 	n.directory.Done(now, call.Service, id, resultOf(int(call.Importance), now.Sub(start), reply))
 	n.observeCutoffs(call.Service, id, reply, now)
 	return reply
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -20,6 +20,7 @@
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/membership"
 	"github.com/goldcrestsail/goldcrestsail/message"
+	"github.com/goldcrestsail/goldcrestsail/nodelog"
 	"github.com/goldcrestsail/goldcrestsail/peerlink"
 	"github.com/goldcrestsail/goldcrestsail/pressure"
 	"github.com/goldcrestsail/goldcrestsail/routetable"
@@ -80,6 +81,10 @@
 	// work counts requests in progress of callers and of peers.
 	work atomic.Int64
 	stop context.CancelFunc
+	// lines bounds the lines about requests; answered counts answered requests.
+	lines            *nodelog.Limiter
+	answered         atomic.Uint64
+	suppressedLogged time.Time
 	// loadLogged is when the load of the target was last logged.
 	loadLogged time.Time
 	// pulling is true while a configuration is fetched from a peer.
@@ -107,7 +112,7 @@
 	n := &Node{
 		config: config, id: uuid.New(), log: config.Logger,
 		configuration: newConfiguration(), target: newTarget(config.ReportInterval), gate: gate.New(time.Now()),
-		joined:  make(chan struct{}),
+		joined: make(chan struct{}), lines: nodelog.NewLimiter(linesPerSecond),
 		running: newRunning(), peers: peerlink.NewPool(), budgets: newBudgets(config.Budget),
 	}
 	n.client = httpconn.NewTarget(httpconn.TargetConfig{Names: config.Headers, Address: config.TargetAddress})
@@ -231,6 +236,7 @@
 			n.refreshTarget(now)
 			n.shareCutoff(now)
 			n.logLoad(now)
+			n.logSuppressed(now)
 		}
 	}
 }
--- a/mesh/reports.go
+++ b/mesh/reports.go
@@ -37,7 +37,7 @@
 	n.target.mu.Unlock()
 	if !news {
 		n.metrics.reportsIgnored.Inc()
-		n.log.Debug("report of the target ignored", "target", r.TargetID, "born", r.Born, "seq", r.Seq, "state", r.State.String(), "seq_known", before.Seq)
+		n.event("report of the target ignored", "target", r.TargetID, "born", r.Born, "seq", r.Seq, "state", r.State.String(), "seq_known", before.Seq)
 		return nil
 	}
 	if after.Service != *n.service.Load() {
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -32,8 +32,9 @@
 	parent *run
 	// root reports that the request begins a chain.
 	root bool
-	// attempts counts the targets that the request was sent to.
-	attempts int
+	// attempts counts the targets that may have run the request, sent all
+	// attempts.
+	attempts, sent int
 }
 
 // serve answers a request of a client or of the target.
@@ -160,21 +161,3 @@
 	defer n.chains.mu.Unlock()
 	return n.chains.rng.Float64()
 }
-
-// logRequest writes the line of a request's end.
-func (n *Node) logRequest(q *request, r *message.Request, reply *message.Reply, failure *kind.Error, now time.Time) {
-	if failure == nil && !n.log.IsDebug() {
-		return
-	}
-	route := ""
-	if q.route != nil {
-		route = q.route.Name
-	}
-	fields := []any{"request_id", r.ID, "route", route, "service", q.call.Service, "root", q.root, "importance", q.call.Importance,
-		"attempts", q.attempts, "config_version", n.configuration.version(), "took_ms", now.Sub(r.Arrived).Milliseconds(), "left_ms", r.Deadline.Sub(now).Milliseconds()}
-	if failure != nil {
-		n.log.Info("request failed", append(fields, "kind", failure.Kind, "run_state", failure.Run, "detail", failure.Detail)...)
-		return
-	}
-	n.log.Debug("request answered", append(fields, "status", reply.Response.Status)...)
-}
