--- a/registration/tracker_test.go
+++ b/registration/tracker_test.go
@@ -66,6 +66,16 @@
 	require.Equal(t, Left, late.Current(at(0)).State, "the departure may be learned after the first report")
 }
 
+// Guards against a delayed goodbye of an earlier start that ends the present one.
+func TestLateGoodbyeOfAnEarlierStart(t *testing.T) {
+	tr := NewTracker(time.Second)
+	tr.Observe(at(0), ready("a", 2, 1))
+	tr.Leave("a", 1)
+	require.Equal(t, Ready, tr.Current(at(0)).State)
+	tr.Leave("a", 2)
+	require.Equal(t, Left, tr.Current(at(0)).State)
+}
+
 // Guards against a target that crashed without a word and still counts as ready.
 func TestSilentTargetIsUnknown(t *testing.T) {
 	tr := NewTracker(time.Second)
