--- a/pressure/controller_test.go
+++ b/pressure/controller_test.go
@@ -19,7 +19,6 @@
 	control  *Controller
 	slots    int
 	service  time.Duration
-	busy     []time.Time
 	waiting  []*chainCall
 	inForce  []Cutoff
 	classes  []*class
