Split the larger files of the new node; let the target guard its own state

Moves only: request reading and response writing out of the connection, load and configuration out of the node, the tracker's lock into its holder.

--- /dev/null
+++ b/httpconn/read_request.go
@@ -0,0 +1,77 @@
+package httpconn
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/message"
+)
+
+// parsed is a request with what concerns its connection.
+type parsed struct {
+	message *message.Request
+	id      string
+	close   bool
+}
+
+// readRequest reads one request. A status of 0 means that the connection ended.
+func (c *serverConn) readRequest(maxBody int) (*parsed, int, error) {
+	r, err := http.ReadRequest(c.br)
+	if err != nil {
+		if c.in.N <= 0 {
+			return nil, http.StatusRequestHeaderFieldsTooLarge, errTooLarge
+		}
+		var network net.Error
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) {
+			return nil, 0, err
+		}
+		return nil, http.StatusBadRequest, err
+	}
+	c.in.N = int64(maxBody) + readBuffer
+	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	if r.Header.Get("Expect") == "100-continue" && c.inFlight.Load() == 0 {
+		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, 0, err
+		}
+	}
+	var body []byte
+	if r.Body != nil && r.Body != http.NoBody {
+		body, err = io.ReadAll(io.LimitReader(r.Body, int64(maxBody)+1))
+		if len(body) > maxBody {
+			return nil, http.StatusRequestEntityTooLarge, errTooLarge
+		}
+		if err != nil {
+			return nil, 0, err
+		}
+	}
+	now := time.Now()
+	names := &c.server.Names
+	left := c.server.DefaultTimeout
+	if text := r.Header.Get(names.TimeoutMS); text != "" {
+		ms, err := strconv.ParseFloat(text, 64)
+		if err != nil || ms < 0 || ms > maxTimeoutMS {
+			return nil, http.StatusBadRequest, errors.New("unreadable time left: " + strconv.Quote(text))
+		}
+		left = time.Duration(ms * float64(time.Millisecond))
+	}
+	id, parent := r.Header.Get(names.RequestID), ""
+	if c.server.ParentOf != nil {
+		parent = c.server.ParentOf(id)
+	}
+	return &parsed{
+		message: &message.Request{
+			ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: body, Arrived: now, Deadline: now.Add(left),
+			Header:   endToEnd(r.Header, names.RequestID, names.TimeoutMS, names.CallerService, names.ExpectedTarget),
+			ParentID: parent,
+		},
+		id:    id,
+		close: r.Close,
+	}, 0, nil
+}
+
+// maxTimeoutMS bounds the stated time left to a day.
+const maxTimeoutMS = 24 * 3600 * 1000
--- a/httpconn/server_conn.go
+++ b/httpconn/server_conn.go
@@ -6,8 +6,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -180,71 +178,6 @@
 	}
 }
 
-// parsed is a request with what concerns its connection.
-type parsed struct {
-	message *message.Request
-	id      string
-	close   bool
-}
-
-// readRequest reads one request. A status of 0 means that the connection ended.
-func (c *serverConn) readRequest(maxBody int) (*parsed, int, error) {
-	r, err := http.ReadRequest(c.br)
-	if err != nil {
-		if c.in.N <= 0 {
-			return nil, http.StatusRequestHeaderFieldsTooLarge, errTooLarge
-		}
-		var network net.Error
-		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) {
-			return nil, 0, err
-		}
-		return nil, http.StatusBadRequest, err
-	}
-	c.in.N = int64(maxBody) + readBuffer
-	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if r.Header.Get("Expect") == "100-continue" && c.inFlight.Load() == 0 {
-		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, 0, err
-		}
-	}
-	var body []byte
-	if r.Body != nil && r.Body != http.NoBody {
-		body, err = io.ReadAll(io.LimitReader(r.Body, int64(maxBody)+1))
-		if len(body) > maxBody {
-			return nil, http.StatusRequestEntityTooLarge, errTooLarge
-		}
-		if err != nil {
-			return nil, 0, err
-		}
-	}
-	now := time.Now()
-	names := &c.server.Names
-	left := c.server.DefaultTimeout
-	if text := r.Header.Get(names.TimeoutMS); text != "" {
-		ms, err := strconv.ParseFloat(text, 64)
-		if err != nil || ms < 0 || ms > maxTimeoutMS {
-			return nil, http.StatusBadRequest, errors.New("unreadable time left: " + strconv.Quote(text))
-		}
-		left = time.Duration(ms * float64(time.Millisecond))
-	}
-	id, parent := r.Header.Get(names.RequestID), ""
-	if c.server.ParentOf != nil {
-		parent = c.server.ParentOf(id)
-	}
-	return &parsed{
-		message: &message.Request{
-			ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: body, Arrived: now, Deadline: now.Add(left),
-			Header:   endToEnd(r.Header, names.RequestID, names.TimeoutMS, names.CallerService, names.ExpectedTarget),
-			ParentID: parent,
-		},
-		id:    id,
-		close: r.Close,
-	}, 0, nil
-}
-
-// maxTimeoutMS bounds the stated time left to a day.
-const maxTimeoutMS = 24 * 3600 * 1000
-
 // write sends the responses in order until the queue is closed or the
 // connection fails.
 func (c *serverConn) write() {
@@ -268,29 +201,6 @@
 	}
 }
 
-func appendResponse(b []byte, names *HeaderNames, x *exchange) []byte {
-	r := x.response
-	b = append(b, "HTTP/1.1 "...)
-	b = strconv.AppendInt(b, int64(r.Status), 10)
-	b = append(b, ' ')
-	b = append(b, http.StatusText(r.Status)...)
-	b = append(b, "\r\n"...)
-	b = appendFields(b, r.Header)
-	if x.requestID != "" {
-		b = appendField(b, names.RequestID, x.requestID)
-	}
-	if r.RetryAfter > 0 {
-		b = appendField(b, "Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
-	}
-	if x.last {
-		b = appendField(b, "Connection", "close")
-	}
-	if r.Status != http.StatusNoContent && r.Status != http.StatusNotModified {
-		b = appendField(b, "Content-Length", strconv.Itoa(len(r.Body)))
-	}
-	return append(b, "\r\n"...)
-}
-
 // orDefault returns v, or the default when v is zero.
 func orDefault[T int | time.Duration](v, byDefault T) T {
 	if v <= 0 {
--- /dev/null
+++ b/mesh/apply_config.go
@@ -0,0 +1,27 @@
+package mesh
+
+import "github.com/goldcrestsail/goldcrestsail/routetable"
+
+// ConfigVersion returns the version of the routes in force, 0 for none.
+func (n *Node) ConfigVersion() uint64 { return n.configuration.version() }
+
+// ApplyConfig puts routes in force unless a newer version is. source names where
+// they came from. The error has kind config-rejected.
+func (n *Node) ApplyConfig(c *routetable.Config, source string) error {
+	applied, failure := n.configuration.apply(c)
+	if failure != nil {
+		n.log.Error("configuration rejected", "version", c.Version, "source", source, "error", failure.Error(), "version_in_force", n.configuration.version())
+		return failure
+	}
+	if applied {
+		n.log.Info("configuration in force", "version", c.Version, "source", source, "routes", len(c.Routes), "services", len(c.Services))
+		n.gossip.SetConfigOffset(c.Version)
+	}
+	return nil
+}
+
+// servicePublished reports whether the configuration in force names a service.
+func (n *Node) servicePublished(name string) bool {
+	t := n.configuration.current()
+	return t != nil && t.Service(name) != nil
+}
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -117,12 +117,12 @@
 		return false
 	}
 	if ctx.Err() != nil {
-		if failure == nil || !sendable(failure) {
+		if failure == nil || failure.Run != kind.NotRun {
 			f.uncertain = true
 		}
 		return false
 	}
-	notRun := failure != nil && sendable(failure)
+	notRun := failure != nil && failure.Run == kind.NotRun
 	if !notRun {
 		f.uncertain = true
 	}
--- /dev/null
+++ b/mesh/load.go
@@ -0,0 +1,48 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/message"
+	"github.com/goldcrestsail/goldcrestsail/pressure"
+)
+
+// shareCutoff tells the gate what the starts of chains apply for its service.
+func (n *Node) shareCutoff(now time.Time) {
+	n.chains.mu.Lock()
+	n.chains.table.Observe(*n.service.Load(), string(n.selfID()), n.gate.Cutoff(), now)
+	cutoff, _ := n.chains.table.Cutoff(*n.service.Load(), now)
+	n.chains.mu.Unlock()
+	n.gate.SetInForce(cutoff)
+}
+
+// logLoad writes what the node believes about the load of its target, often
+// enough to follow an overload and only while there is one.
+func (n *Node) logLoad(now time.Time) {
+	if now.Sub(n.loadLogged) < loadLogInterval {
+		return
+	}
+	load := n.gate.Load()
+	if load.Cutoff >= float64(pressure.Open) && load.Waiting == 0 {
+		return
+	}
+	n.loadLogged = now
+	n.log.Info("target under load", "running", load.Running, "waiting", load.Waiting, "limit", load.Limit, "cutoff", load.Cutoff,
+		"service_time_ms", load.ServiceTime.Milliseconds(), "by_importance", load.ByImportance)
+}
+
+// cutoffsBelow returns what is known of the services that sub-calls visited.
+func (n *Node) cutoffsBelow(visited []message.Visit, now time.Time) []message.ServiceCutoff {
+	if len(visited) == 0 {
+		return nil
+	}
+	n.chains.mu.Lock()
+	defer n.chains.mu.Unlock()
+	var cutoffs []message.ServiceCutoff
+	for _, v := range visited {
+		if cutoff, age := n.chains.table.Cutoff(v.Service, now); cutoff < pressure.Open {
+			cutoffs = append(cutoffs, message.ServiceCutoff{Service: v.Service, Cutoff: float64(cutoff), Age: age})
+		}
+	}
+	return cutoffs
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -19,10 +19,8 @@
 	"github.com/goldcrestsail/goldcrestsail/httpconn"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/membership"
-	"github.com/goldcrestsail/goldcrestsail/message"
 	"github.com/goldcrestsail/goldcrestsail/nodelog"
 	"github.com/goldcrestsail/goldcrestsail/peerlink"
-	"github.com/goldcrestsail/goldcrestsail/pressure"
 	"github.com/goldcrestsail/goldcrestsail/routetable"
 	"github.com/goldcrestsail/goldcrestsail/routing"
 )
@@ -89,15 +87,6 @@
 	loadLogged time.Time
 	// pulling is true while a configuration is fetched from a peer.
 	pulling atomic.Bool
-	// applied is the description of the target that the gate was configured with.
-	applied gateInput
-}
-
-// gateInput is what the gate's bounds follow from.
-type gateInput struct {
-	targetID string
-	born     int64
-	slots    int
 }
 
 // New returns a node that is not started yet.
@@ -198,30 +187,6 @@
 	return !n.draining.Load() && n.configuration.current() != nil
 }
 
-// ConfigVersion returns the version of the routes in force, 0 for none.
-func (n *Node) ConfigVersion() uint64 { return n.configuration.version() }
-
-// ApplyConfig puts routes in force unless a newer version is. source names where
-// they came from. The error has kind config-rejected.
-func (n *Node) ApplyConfig(c *routetable.Config, source string) error {
-	applied, failure := n.configuration.apply(c)
-	if failure != nil {
-		n.log.Error("configuration rejected", "version", c.Version, "source", source, "error", failure.Error(), "version_in_force", n.configuration.version())
-		return failure
-	}
-	if applied {
-		n.log.Info("configuration in force", "version", c.Version, "source", source, "routes", len(c.Routes), "services", len(c.Services))
-		n.gossip.SetConfigOffset(c.Version)
-	}
-	return nil
-}
-
-// servicePublished reports whether the configuration in force names a service.
-func (n *Node) servicePublished(name string) bool {
-	t := n.configuration.current()
-	return t != nil && t.Service(name) != nil
-}
-
 // tick runs periodic work until ctx ends.
 func (n *Node) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
@@ -241,30 +206,6 @@
 	}
 }
 
-// shareCutoff tells the gate what the starts of chains apply for its service.
-func (n *Node) shareCutoff(now time.Time) {
-	n.chains.mu.Lock()
-	n.chains.table.Observe(*n.service.Load(), string(n.selfID()), n.gate.Cutoff(), now)
-	cutoff, _ := n.chains.table.Cutoff(*n.service.Load(), now)
-	n.chains.mu.Unlock()
-	n.gate.SetInForce(cutoff)
-}
-
-// logLoad writes what the node believes about the load of its target, often
-// enough to follow an overload and only while there is one.
-func (n *Node) logLoad(now time.Time) {
-	if now.Sub(n.loadLogged) < loadLogInterval {
-		return
-	}
-	load := n.gate.Load()
-	if load.Cutoff >= float64(pressure.Open) && load.Waiting == 0 {
-		return
-	}
-	n.loadLogged = now
-	n.log.Info("target under load", "running", load.Running, "waiting", load.Waiting, "limit", load.Limit, "cutoff", load.Cutoff,
-		"service_time_ms", load.ServiceTime.Milliseconds(), "by_importance", load.ByImportance)
-}
-
 // meta returns what the members are told of this node and its target.
 func (n *Node) meta() membership.Meta {
 	r := n.target.current(time.Now())
@@ -278,24 +219,5 @@
 	}
 }
 
-// sendable reports whether a failure of an attempt leaves the request unrun.
-func sendable(f *kind.Error) bool { return f.Run == kind.NotRun }
-
-// cutoffsBelow returns what is known of the services that sub-calls visited.
-func (n *Node) cutoffsBelow(visited []message.Visit, now time.Time) []message.ServiceCutoff {
-	if len(visited) == 0 {
-		return nil
-	}
-	n.chains.mu.Lock()
-	defer n.chains.mu.Unlock()
-	var cutoffs []message.ServiceCutoff
-	for _, v := range visited {
-		if cutoff, age := n.chains.table.Cutoff(v.Service, now); cutoff < pressure.Open {
-			cutoffs = append(cutoffs, message.ServiceCutoff{Service: v.Service, Cutoff: float64(cutoff), Age: age})
-		}
-	}
-	return cutoffs
-}
-
 // selfID returns the ID under which routing knows this node.
 func (n *Node) selfID() routing.TargetID { return routing.TargetID(n.id.String()) }
--- a/mesh/reconfigure.go
+++ b/mesh/reconfigure.go
@@ -11,9 +11,7 @@
 	now := time.Now()
 	if service != *n.service.Load() {
 		n.service.Store(&service)
-		n.target.mu.Lock()
-		n.target.tracker.Forget()
-		n.target.mu.Unlock()
+		n.target.forget()
 	}
 	n.budgets.configure(now, budget)
 	n.grace.Store(int64(grace))
@@ -22,7 +20,5 @@
 
 // Departures returns the departures of targets that this node knows.
 func (n *Node) Departures() []registration.Departure {
-	n.target.mu.Lock()
-	defer n.target.mu.Unlock()
-	return n.target.tracker.Departures()
+	return n.target.departures()
 }
--- a/mesh/reports.go
+++ b/mesh/reports.go
@@ -30,11 +30,7 @@
 	if r.Service != *n.service.Load() && !n.servicePublished(r.Service) {
 		return kind.Newf(kind.Malformed, "service %q of the report is not published", r.Service)
 	}
-	n.target.mu.Lock()
-	before := n.target.tracker.Current(now)
-	news := n.target.tracker.Observe(now, r)
-	after := n.target.tracker.Current(now)
-	n.target.mu.Unlock()
+	before, after, news := n.target.observe(now, r)
 	if !news {
 		n.metrics.reportsIgnored.Inc()
 		n.event("report of the target ignored", "target", r.TargetID, "born", r.Born, "seq", r.Seq, "state", r.State.String(), "seq_known", before.Seq)
@@ -56,9 +52,7 @@
 
 // TargetLeft records that a target says it is gone, and returns the departure.
 func (n *Node) TargetLeft(targetID string, born int64) registration.Departure {
-	n.target.mu.Lock()
-	d := n.target.tracker.Leave(targetID, born)
-	n.target.mu.Unlock()
+	d := n.target.leave(targetID, born)
 	n.log.Info("target left", "target", targetID, "born", d.Born)
 	n.spreadDeparture(d)
 	n.refreshTarget(time.Now())
@@ -68,20 +62,14 @@
 // RememberDepartures applies departures that an earlier process of this node
 // has acknowledged.
 func (n *Node) RememberDepartures(departures []registration.Departure) {
-	n.target.mu.Lock()
-	for _, d := range departures {
-		n.target.tracker.Remember(d)
-	}
-	n.target.mu.Unlock()
+	n.target.remember(departures...)
 	n.refreshTarget(time.Now())
 }
 
 // SettleDepartures allows work to the target: what earlier processes of the
 // node have acknowledged is known, or cannot be had.
 func (n *Node) SettleDepartures() {
-	n.target.mu.Lock()
-	n.target.settled = true
-	n.target.mu.Unlock()
+	n.target.settle()
 	n.refreshTarget(time.Now())
 }
 
@@ -105,9 +93,7 @@
 		n.log.Warn("unreadable departure of a peer", "id", b.ID, "error", err)
 		return
 	}
-	n.target.mu.Lock()
-	n.target.tracker.Remember(d)
-	n.target.mu.Unlock()
+	n.target.remember(d)
 	n.refreshTarget(time.Now())
 }
 
@@ -120,15 +106,7 @@
 // refreshTarget brings the gate and the gossip in line with the target's state.
 func (n *Node) refreshTarget(now time.Time) {
 	r := n.target.current(now)
-	n.target.mu.Lock()
-	input := gateInput{targetID: r.TargetID, born: r.Born, slots: r.Slots}
-	started := r.State == registration.Ready && (input.targetID != n.applied.targetID || input.born != n.applied.born)
-	changed := r.State == registration.Ready && input != n.applied
-	if changed {
-		n.applied = input
-	}
-	n.target.mu.Unlock()
-	if changed {
+	if changed, started := n.target.changed(r); changed {
 		usable := usableSlots(r.Slots)
 		n.gate.Configure(now, gate.Config{Slots: usable, MinLimit: usable, QueueTimeout: queueTimeout})
 		if started {
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -15,6 +15,15 @@
 	// settled is false until the departures that an earlier process of this node
 	// may have acknowledged are known, or could not be had in time.
 	settled bool
+	// applied is the description of the target that the gate was configured with.
+	applied gateInput
+}
+
+// gateInput is what the gate's bounds follow from.
+type gateInput struct {
+	targetID string
+	born     int64
+	slots    int
 }
 
 func newTarget(interval time.Duration) *target {
@@ -43,3 +52,65 @@
 	}
 	return r.TargetID, nil
 }
+
+// observe applies a report and returns the reports in force before and after,
+// and whether it was news.
+func (t *target) observe(now time.Time, r registration.Report) (before, after registration.Report, news bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before = t.tracker.Current(now)
+	news = t.tracker.Observe(now, r)
+	return before, t.tracker.Current(now), news
+}
+
+// leave records that a target says it is gone.
+func (t *target) leave(targetID string, born int64) registration.Departure {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tracker.Leave(targetID, born)
+}
+
+// remember applies departures that were learned from elsewhere.
+func (t *target) remember(departures ...registration.Departure) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, d := range departures {
+		t.tracker.Remember(d)
+	}
+}
+
+// settle allows work to the target.
+func (t *target) settle() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.settled = true
+}
+
+// forget drops the report in force, such as when the service has changed.
+func (t *target) forget() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tracker.Forget()
+}
+
+// departures returns the departures that are known.
+func (t *target) departures() []registration.Departure {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tracker.Departures()
+}
+
+// changed reports whether the gate has to be configured for a report, and
+// whether that is because the target has started.
+func (t *target) changed(r registration.Report) (changed, started bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.State != registration.Ready {
+		return false, false
+	}
+	input := gateInput{targetID: r.TargetID, born: r.Born, slots: r.Slots}
+	started = input.targetID != t.applied.targetID || input.born != t.applied.born
+	changed = input != t.applied
+	t.applied = input
+	return changed, started
+}
