--- a/registration/tracker_test.go
+++ b/registration/tracker_test.go
@@ -66,6 +66,16 @@
 	require.Equal(t, Left, late.Current(at(0)).State, "the departure may be learned after the first report")
 }
 
+// Guards against a late report that replaces what a newer one has said.
+func TestLateReportChangesNothing(t *testing.T) {
+	tr := NewTracker(time.Second)
+	newer, older := ready("a", 1, 5), ready("a", 1, 4)
+	newer.Slots, older.Slots = 8, 4
+	require.True(t, tr.Observe(at(0), newer))
+	require.False(t, tr.Observe(at(1), older))
+	require.Equal(t, 8, tr.Current(at(1)).Slots)
+}
+
 // Guards against a delayed goodbye of an earlier start that ends the present one.
 func TestLateGoodbyeOfAnEarlierStart(t *testing.T) {
 	tr := NewTracker(time.Second)
