Return a target's own failure rather than one of the node's

Cause: an idempotent request that its target had answered with 500 was repeated, and when the repeat was refused the caller got the node's 502 in place of the response that was there. Also keeps 503 from a quarantined request that may have run (no such case arises yet).

--- a/mesh/answer.go
+++ b/mesh/answer.go
@@ -32,7 +32,7 @@
 	switch {
 	case f.Kind == kind.Canceled:
 		r.Status = http.StatusBadGateway
-	case f.Kind == kind.Quarantined:
+	case f.Kind == kind.Quarantined && f.Run == kind.NotRun:
 		// Not 403, which says that the caller may not send such requests.
 		r.Status = http.StatusServiceUnavailable
 	case f.Run == kind.NotRun && row.Status >= http.StatusInternalServerError, row.Status == http.StatusTooManyRequests && f.Run == kind.NotRun:
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -36,6 +36,9 @@
 	unsent int
 	// uncertain reports that an attempt may have run.
 	uncertain bool
+	// answered is the latest response of a target, if the request was repeated
+	// although there was one.
+	answered *message.Reply
 	// refusedBy lists the targets that refused the request, in order.
 	refusedBy []routing.TargetID
 }
@@ -48,14 +51,26 @@
 	for {
 		reply := f.attempt(ctx)
 		if !f.again(ctx, reply) {
-			if reply.Failure != nil && f.uncertain {
-				reply.Failure.Run = kind.MayHaveRun
-			}
-			return reply
+			return f.final(reply)
 		}
 	}
 }
 
+// final returns what the caller gets after the last attempt: a response that a
+// target made, even a failure, rather than one of this node's own.
+func (f *forwarding) final(last *message.Reply) *message.Reply {
+	if last.Failure == nil {
+		return last
+	}
+	if f.answered != nil {
+		return f.answered
+	}
+	if f.uncertain {
+		last.Failure.Run = kind.MayHaveRun
+	}
+	return last
+}
+
 // attempt sends the request once.
 func (f *forwarding) attempt(ctx context.Context) *message.Reply {
 	n, call := f.node, f.request.call
@@ -126,6 +141,9 @@
 	if !notRun {
 		f.uncertain = true
 	}
+	if failure == nil {
+		f.answered = reply
+	}
 	if failure != nil && (!kind.AnswerFor(failure.Kind).Retry || failure.Kind == kind.NoTarget) {
 		return false
 	}
