--- a/membership/join_test.go
+++ b/membership/join_test.go
@@ -40,10 +40,16 @@
 			}
 		}
 	}
-	for range 1000 {
+	// The processes start within 0.3 s of each other; what is sent to one before
+	// that is lost.
+	listens := map[*Node]time.Time{}
+	for i, n := range nodes {
+		listens[n] = now.Add(time.Duration(i) * 300 * time.Millisecond / count)
+	}
+	for range 1300 {
 		now = now.Add(time.Millisecond)
-		if ms := now.Sub(time.Unix(1000, 0)).Milliseconds(); ms <= 601 && ms%200 == 1 {
-			for _, n := range nodes {
+		for _, n := range nodes {
+			if ms := now.Sub(listens[n]).Milliseconds(); ms > 0 && ms <= 801 && ms%200 == 1 {
 				step(n, AddSeeds{Addrs: addrs})
 			}
 		}
@@ -54,10 +60,13 @@
 				flights = append(flights, f)
 				continue
 			}
+			if to := byAddr[f.to]; now.Before(listens[to]) {
+				continue
+			}
 			step(byAddr[f.to], Datagram{From: f.from, Bytes: f.bytes})
 		}
 		for _, n := range nodes {
-			if !n.NextTick().After(now) {
+			if !now.Before(listens[n]) && !n.NextTick().After(now) {
 				step(n, Tick{})
 			}
 		}
