--- a/registration/tracker_test.go
+++ b/registration/tracker_test.go
@@ -76,8 +76,8 @@
 	require.Equal(t, 8, tr.Current(at(1)).Slots)
 }
 
-// Guards against a delayed goodbye of an earlier start that ends the present one.
-func TestLateGoodbyeOfAnEarlierStart(t *testing.T) {
+// Guards against a delayed departure of an earlier start that ends the present one.
+func TestLateDepartureOfAnEarlierStart(t *testing.T) {
 	tr := NewTracker(time.Second)
 	tr.Observe(at(0), ready("a", 2, 1))
 	tr.Leave("a", 1)
