Spend scarce repeats on chosen chains; one dump command; a soak of processes

Also: `goldcrestsail dump` read /dump, which the node of the platform did not serve (it had /state); both nodes share package statedump now. New: internal/soak, real processes with troubles drawn from a seed; gauges of the retry budgets and of the store; the reason why a request was not repeated on its log line.

--- /dev/null
+++ b/internal/soak/deployment_test.go
@@ -0,0 +1,182 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/goldcrestsail/goldcrestsail/internal/standin/link"
+	"github.com/goldcrestsail/goldcrestsail/platform"
+	"github.com/goldcrestsail/goldcrestsail/platform/storetest"
+)
+
+// deployment is a store, nodes, and the targets beside them.
+type deployment struct {
+	t       *testing.T
+	dir     string
+	store   *storetest.Store
+	ledger  *ledger
+	members []*member
+}
+
+// member is a node and its target, with the links between them and to the store.
+type member struct {
+	name, service string
+	settings      *platform.Settings
+	path, logs    string
+	storeLink     *link.Link
+	targetLink    *link.Link
+	target        *target
+	// ready is what clients believe of the node.
+	ready atomic.Bool
+
+	// changing is held while the node, targetChanging while the target is stopped
+	// or started.
+	changing, targetChanging sync.Mutex
+	process                  atomic.Pointer[process]
+}
+
+// firstPort is the first of the ports that a node uses on its own address.
+const firstPort = 17620
+
+// newDeployment starts count nodes for each of two services, of which front
+// calls back.
+func newDeployment(t *testing.T, count int) *deployment {
+	d := &deployment{t: t, dir: logDirectory(t), store: storetest.Start(), ledger: newLedger()}
+	t.Cleanup(d.store.Close)
+	d.store.Put("keyed.op", "config", d.routes(1))
+	// Each deployment has a network of its own, so that several can run at once.
+	network := fmt.Sprintf("127.%d.%d", 16+rand.IntN(200), rand.IntN(256))
+	for i := range count {
+		for j, service := range []string{"front", "back"} {
+			d.members = append(d.members, d.newMember(service, fmt.Sprintf("%s-%d", service, i+1), fmt.Sprintf("%s.%d", network, 2+2*i+j), i))
+		}
+	}
+	t.Cleanup(d.stop)
+	for _, m := range d.members {
+		m.targetLink.Redirect(m.target.start(false))
+		d.startNode(m)
+	}
+	return d
+}
+
+// logDirectory keeps the logs of a failed test where -soak.logs says.
+func logDirectory(t *testing.T) string {
+	if *logs == "" {
+		return t.TempDir()
+	}
+	dir := filepath.Join(*logs, strings.ReplaceAll(t.Name(), "/", "-"))
+	require.NoError(t, os.RemoveAll(dir))
+	require.NoError(t, os.MkdirAll(dir, 0o700))
+	return dir
+}
+
+func (d *deployment) newMember(service, name, ip string, domain int) *member {
+	m := &member{name: name, service: service, path: filepath.Join(d.dir, name+".settings.json"), logs: filepath.Join(d.dir, name+".log")}
+	var err error
+	m.storeLink, err = link.New(d.store.Address())
+	require.NoError(d.t, err)
+	m.targetLink, err = link.New("127.0.0.1:1")
+	require.NoError(d.t, err)
+	at := func(offset int) string { return fmt.Sprintf("%s:%d", ip, firstPort+offset) }
+	m.settings = &platform.Settings{
+		Instance: name, FailureDomain: fmt.Sprintf("domain-%d", domain%2), Region: "region", IP: ip, Service: service,
+		TargetAddress: m.targetLink.Address(), CallerAddress: at(2), ReadyAddress: at(3), ReportAddress: at(4), AdminPort: firstPort + 5,
+		FirstPort: firstPort, LastPort: firstPort + 1, StoreAddress: m.storeLink.Address(), ReportSeconds: reportInterval.Seconds(),
+		GraceSeconds: grace.Seconds(), MemoryMB: 200, RetryRatio: budgetRatio, RetryWindow: budgetWindow.Seconds(), RetrySlack: budgetSlack, LogLevel: "info",
+	}
+	m.target = &target{member: m, ledger: d.ledger}
+	d.writeSettings(m)
+	return m
+}
+
+func (d *deployment) writeSettings(m *member) {
+	text, err := json.Marshal(m.settings)
+	require.NoError(d.t, err)
+	require.NoError(d.t, os.WriteFile(m.path, text, 0o600))
+}
+
+// routes returns a version of the operator's configuration.
+func (d *deployment) routes(version int) []byte {
+	var routes, services []string
+	for _, r := range [][3]string{{"front", "safe", "front"}, {"pay", "unsafe", "front"}, {"back", "safe", "back"}} {
+		importance := map[string]int{"pay": 0, "front": 1, "back": 2}[r[0]]
+		routes = append(routes, fmt.Sprintf(`["r-%s","%s.example","/","%s",2,0.5,%d,"%s",2,null]`, r[0], r[0], r[1], importance, r[2]))
+	}
+	for _, s := range []string{"front", "back"} {
+		services = append(services, fmt.Sprintf(`["%s","/health",100]`, s))
+	}
+	return fmt.Appendf(nil, `{"version":%d,"routes":{"columns":["name","host","pathPrefix","routeType","timeoutS","targetLatencyS","priority","service","maxAttempts","weightedClusters"],"rows":[%s]},"services":{"columns":["name","healthPath","maxConnections"],"rows":[%s]},"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutS":3,"idleTimeoutS":15}}`,
+		version, strings.Join(routes, ","), strings.Join(services, ","))
+}
+
+func (d *deployment) startNode(m *member) {
+	number := 1
+	if p := m.process.Load(); p != nil {
+		number = p.number + 1
+	}
+	m.process.Store(startNode(d.t, m.path, m.logs, number))
+}
+
+// stop ends what the deployment started.
+func (d *deployment) stop() {
+	for _, m := range d.members {
+		if p := m.process.Load(); p != nil {
+			p.kill()
+		}
+		m.targetChanging.Lock()
+		m.target.stop()
+		m.targetChanging.Unlock()
+		m.storeLink.Close()
+		m.targetLink.Close()
+	}
+}
+
+// watchReady keeps what clients believe of a node until ctx ends.
+func (d *deployment) watchReady(ctx context.Context, m *member) {
+	httpClient := &http.Client{Timeout: readyInterval}
+	failed := 0
+	for ctx.Err() == nil {
+		response, err := httpClient.Get("http://" + m.settings.ReadyAddress + "/goldcrestsail/ready")
+		ok := err == nil && response.StatusCode == http.StatusOK
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		if failed++; ok {
+			failed = 0
+		}
+		if ok || failed >= 2 {
+			m.ready.Store(ok)
+		}
+		time.Sleep(readyInterval)
+	}
+}
+
+// readyMember returns a random node that clients take for ready, or nil.
+func (d *deployment) readyMember(rng *rand.Rand) *member {
+	var ready []*member
+	for _, m := range d.members {
+		if m.ready.Load() {
+			ready = append(ready, m)
+		}
+	}
+	if len(ready) == 0 {
+		return nil
+	}
+	return ready[rng.IntN(len(ready))]
+}
+
+// signal sends a signal that does not end the node.
+func (m *member) signal(s syscall.Signal) { _ = m.process.Load().cmd.Process.Signal(s) }
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -7,12 +7,25 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
+// Trouble is what a link does to bytes until it is told otherwise.
+type Trouble struct {
+	// Delay holds back each piece that is read.
+	Delay time.Duration
+	// DropForward and DropBackward lose the bytes to the destination and from
+	// it. A connection that has lost bytes carries none in that direction again.
+	DropForward, DropBackward bool
+	// Refuse closes new connections at once.
+	Refuse bool
+}
+
 // Link forwards connections from its address to another one.
 type Link struct {
 	listener net.Listener
 	silent   atomic.Int64
+	trouble  atomic.Pointer[Trouble]
 	mu       sync.Mutex
 	to       string
 	open     map[net.Conn]struct{}
@@ -74,6 +87,16 @@
 	return net.Dial("tcp", to)
 }
 
+// SetTrouble replaces what the link does to the bytes of all connections.
+func (l *Link) SetTrouble(t Trouble) { l.trouble.Store(&t) }
+
+func (l *Link) currentTrouble() Trouble {
+	if t := l.trouble.Load(); t != nil {
+		return *t
+	}
+	return Trouble{}
+}
+
 // Silence makes all open connections stop carrying bytes without closing
 // them. Connections opened later work.
 func (l *Link) Silence() { l.silent.Add(1) }
@@ -102,6 +125,10 @@
 		if err != nil {
 			return
 		}
+		if l.currentTrouble().Refuse {
+			in.Close()
+			continue
+		}
 		out, err := l.dial()
 		if err != nil {
 			in.Close()
@@ -111,8 +138,8 @@
 			return
 		}
 		generation := l.silent.Load()
-		go l.copy(in, out, generation)
-		go l.copy(out, in, generation)
+		go l.copy(in, out, generation, func(t Trouble) bool { return t.DropBackward })
+		go l.copy(out, in, generation, func(t Trouble) bool { return t.DropForward })
 	}
 }
 
@@ -129,13 +156,17 @@
 	return !l.closed
 }
 
-// copy forwards bytes. After Silence it keeps reading and drops what it reads,
-// so that the sender sees an open connection.
-func (l *Link) copy(to, from net.Conn, generation int64) {
+// copy forwards bytes. After Silence, or once it has dropped some, it keeps
+// reading and drops what it reads, so that the sender sees an open connection.
+func (l *Link) copy(to, from net.Conn, generation int64, drops func(Trouble) bool) {
 	buffer := make([]byte, 32<<10)
+	lost := false
 	for {
 		n, err := from.Read(buffer)
-		if l.silent.Load() == generation && n > 0 {
+		trouble := l.currentTrouble()
+		time.Sleep(trouble.Delay)
+		lost = lost || drops(trouble) && n > 0
+		if !lost && l.silent.Load() == generation && n > 0 {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
 			}
@@ -143,7 +174,7 @@
 		if err == nil {
 			continue
 		}
-		if l.silent.Load() != generation && err == io.EOF {
+		if (lost || l.silent.Load() != generation) && err == io.EOF {
 			// A silent connection does not pass on the end of the stream either.
 			return
 		}
--- a/mesh/admin.go
+++ b/mesh/admin.go
@@ -1,31 +1,37 @@
 package mesh
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
 
+	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/membership"
 	"github.com/goldcrestsail/goldcrestsail/registration"
+	"github.com/goldcrestsail/goldcrestsail/statedump"
 )
 
-// AdminHandler serves metrics at /metrics and the state of the process at /state.
+// AdminHandler serves metrics at /metrics and the state of the process at /dump,
+// or one section of it at /dump?section=NAME.
 func (n *Node) AdminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.set.WritePrometheus(w) })
-	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		encoder := json.NewEncoder(w)
-		encoder.SetIndent("", "  ")
-		if err := encoder.Encode(n.State()); err != nil {
-			n.log.Warn("state not sent", "error", err)
-		}
-	})
+	mux.HandleFunc("GET /dump", n.serveDump)
 	return mux
 }
 
-// State returns what the process believes, for a dump.
-func (n *Node) State() map[string]any {
+func (n *Node) serveDump(w http.ResponseWriter, r *http.Request) {
+	state, failure := statedump.Select(r, n.Dump())
+	if failure != nil {
+		http.Error(w, failure.Error(), kind.AnswerFor(failure.Kind).Status)
+		return
+	}
+	if err := statedump.Write(w, state); err != nil {
+		n.log.Warn("dump not written", "error", err)
+	}
+}
+
+// Dump returns the state of the node by section, for operators.
+func (n *Node) Dump() map[string]any {
 	now := time.Now()
 	members := []map[string]any{}
 	for _, m := range n.gossip.Members() {
@@ -36,13 +42,22 @@
 	}
 	queue, limits := n.gate.Stats()
 	return map[string]any{
-		"instance": n.config.Name, "node_id": n.id.String(), "service": *n.service.Load(), "draining": n.draining.Load(),
-		"config_version": n.configuration.version(), "in_progress": n.work.Load(), "at_target": n.running.len(),
-		"connections": n.callers.Connections(), "target": describeReport(n.target.current(now)), "departures": n.Departures(),
+		"node": map[string]any{
+			"instance": n.config.Name, "id": n.id.String(), "service": *n.service.Load(), "region": n.config.Region,
+			"failure_domain": n.config.FailureDomain, "draining": n.draining.Load(), "requests_in_progress": n.work.Load(),
+			"caller_connections": n.callers.Connections(),
+		},
+		"config":     map[string]any{"version": n.configuration.version()},
+		"target":     describeReport(n.target.current(now)),
+		"departures": n.Departures(),
 		"queue": map[string]any{"running": queue.Running, "waiting": queue.Waiting, "limit": queue.Limit, "cutoff": float64(n.gate.Cutoff()),
-			"service_time_ms": limits.ServiceTime.Milliseconds()},
-		"targets": n.directory.Snapshot(now), "members": members, "gossip": membershipStats(n.gossip.Stats()), "chains": n.chainState(now),
-		"retry_tokens": n.budgets.tokens(now),
+			"at_target": n.running.len(), "service_time_ms": limits.ServiceTime.Milliseconds()},
+		"routes":  n.directory.Snapshot(now),
+		"members": members,
+		"gossip":  membershipStats(n.gossip.Stats()),
+		"chains":  n.chainState(now),
+		"budgets": n.budgets.state(now),
+		"store":   map[string]any{"in_touch": n.storeInTouch.Load()},
 	}
 }
 
--- a/mesh/apply_config.go
+++ b/mesh/apply_config.go
@@ -16,6 +16,9 @@
 	if applied {
 		n.log.Info("configuration in force", "version", c.Version, "source", source, "routes", len(c.Routes), "services", len(c.Services))
 		n.gossip.SetConfigOffset(c.Version)
+		for _, s := range c.Services {
+			n.metrics.budget(n, s.Name)
+		}
 	}
 	return nil
 }
--- a/mesh/budgets.go
+++ b/mesh/budgets.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/goldcrestsail/goldcrestsail/pressure"
 	"github.com/goldcrestsail/goldcrestsail/retry"
 )
 
@@ -35,29 +36,10 @@
 	services map[string]*serviceBudget
 }
 
-// serviceBudget is this node's part of the budget of one service.
-type serviceBudget struct {
-	*retry.Budget
-	// attempts counts the first attempts since measured, and recent those of the
-	// intervals before.
-	attempts float64
-	recent   [savedIntervals]float64
-	measured time.Time
-}
-
 func newBudgets(c BudgetConfig) *budgets {
 	return &budgets{config: c, nodes: 1, services: map[string]*serviceBudget{}}
 }
 
-// sum returns the first attempts of the recent intervals.
-func (s *serviceBudget) sum() float64 {
-	sum := 0.0
-	for _, n := range s.recent {
-		sum += n
-	}
-	return sum
-}
-
 // parts returns this node's part for a service with some recent first attempts.
 // What they have earned may be saved for one window: the bound of a window
 // follows from its own requests or those of the window before, so half of the
@@ -101,7 +83,7 @@
 func (b *budgets) ofLocked(now time.Time, service string) *serviceBudget {
 	s := b.services[service]
 	if s == nil {
-		s = &serviceBudget{Budget: retry.NewBudget(b.parts(0), now), measured: now}
+		s = &serviceBudget{Budget: retry.NewBudget(b.parts(0), now), repeats: pressure.NewRepeats(now), measured: now}
 		b.services[service] = s
 	}
 	return s
@@ -143,13 +125,47 @@
 	return true
 }
 
-// tokens returns the repeats of each service that could be sent at once.
-func (b *budgets) tokens(now time.Time) map[string]float64 {
+// answered records an attempt of a request that reached a target: the first one
+// or a repeat, and whether the target refused it.
+func (b *budgets) answered(now time.Time, service string, importance int, first, refused bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.ofLocked(now, service)
+	s.repeats.Answered(importance, first, refused)
+	s.repeats.Tick(now, s.supply(now, b.parts(s.sum())))
+}
+
+// chosen reports whether a refused call of a chain at a position is sent again,
+// as far as the budget lasts.
+func (b *budgets) chosen(now time.Time, service string, position float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ofLocked(now, service).repeats.Cutoff().Admits(position)
+}
+
+// budgetState is what is left of the budget of a service.
+type budgetState struct {
+	// Tokens is the number of repeats that could be sent at once.
+	Tokens float64 `json:"tokens"`
+	// Cutoff is the position of chains up to which refused calls are repeated.
+	Cutoff float64 `json:"cutoff"`
+}
+
+// stateOf returns what is left of the budget of one service.
+func (b *budgets) stateOf(now time.Time, service string) budgetState {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.ofLocked(now, service)
+	return budgetState{s.Tokens(now), float64(s.repeats.Cutoff())}
+}
+
+// state returns what is left of the budget of each service in use.
+func (b *budgets) state(now time.Time) map[string]budgetState {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	all := make(map[string]float64, len(b.services))
+	all := make(map[string]budgetState, len(b.services))
 	for service, s := range b.services {
-		all[service] = s.Tokens(now)
+		all[service] = budgetState{s.Tokens(now), float64(s.repeats.Cutoff())}
 	}
 	return all
 }
--- a/mesh/events.go
+++ b/mesh/events.go
@@ -56,9 +56,9 @@
 		"took_ms", now.Sub(r.Arrived).Milliseconds(), "left_ms", r.Deadline.Sub(now).Milliseconds()}
 	switch {
 	case failure != nil:
-		n.event("request failed", append(fields, "kind", failure.Kind, "run_state", failure.Run, "detail", failure.Detail)...)
+		n.event("request failed", append(fields, "kind", failure.Kind, "run_state", failure.Run, "detail", failure.Detail, "not_repeated", q.notRepeated)...)
 	case reply.Response.Status >= 500:
-		n.event("target failed a request", append(fields, "status", reply.Response.Status, "dependency_failed", reply.DependencyFailed)...)
+		n.event("target failed a request", append(fields, "status", reply.Response.Status, "dependency_failed", reply.DependencyFailed, "not_repeated", q.notRepeated)...)
 	default:
 		n.event("request answered", append(fields, "status", reply.Response.Status, "sample", answeredSample)...)
 	}
@@ -67,7 +67,7 @@
 // logAttempt writes a line for an attempt that did not give the target's
 // response.
 func (n *Node) logAttempt(call *message.Call, target string, self bool, failure *kind.Error, took time.Duration) {
-	n.event("attempt failed", "request_id", call.ID, "service", call.Service, "target", target, "own_target", self, "repeat", call.Repeat,
+	n.event("attempt failed", "request_id", call.ID, "service", call.Service, "target", target, "own_target", self, "repeat", call.Repeat, "importance", call.Importance,
 		"kind", failure.Kind, "run_state", failure.Run, "detail", failure.Detail, "took_ms", took.Milliseconds())
 }
 
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -93,6 +93,9 @@
 	n.metrics.sent.Inc()
 	n.metrics.hop.Update(now.Sub(start).Seconds())
 	f.request.sent++
+	if reply.Failure == nil || reachedTarget(reply.Failure) {
+		n.budgets.answered(now, call.Service, int(call.Importance), f.request.sent == 1, reply.Failure != nil)
+	}
 	if reply.Failure != nil {
 		n.logAttempt(call, string(id), id == n.selfID(), reply.Failure, now.Sub(start))
 	}
@@ -138,6 +141,7 @@
 		return false
 	}
 	notRun := failure != nil && failure.Run == kind.NotRun
+	q.notRepeated = ""
 	if !notRun {
 		f.uncertain = true
 	}
@@ -148,6 +152,7 @@
 		return false
 	}
 	if !notRun && q.call.Unsafe {
+		q.notRepeated = "it may have run"
 		return false
 	}
 	if failure != nil && notRun && !reachedTarget(failure) {
@@ -157,24 +162,45 @@
 	if failure != nil && notRun {
 		f.refusedBy = append(f.refusedBy, f.tried[len(f.tried)-1])
 		q.call.Repeat = true
-		if len(f.refusedBy) > maxRefusals || !f.pause(ctx) {
-			return false
-		}
-		return f.repeat()
+		return f.repeatRefused(ctx)
 	}
 	q.attempts++
-	if q.attempts >= max(q.route.MaxAttempts, 1) || time.Until(q.call.Deadline) < minTimeLeft {
+	if q.attempts >= max(q.route.MaxAttempts, 1) {
+		q.notRepeated = "its route allows no further target"
+		return false
+	}
+	if time.Until(q.call.Deadline) < minTimeLeft {
+		q.notRepeated = "no time left"
 		return false
 	}
 	return f.repeat()
 }
 
+// repeatRefused decides whether a request that a target has refused is sent
+// again, and waits a moment before.
+func (f *forwarding) repeatRefused(ctx context.Context) bool {
+	q := f.request
+	switch {
+	case len(f.refusedBy) > maxRefusals:
+		q.notRepeated = "refused too often"
+	case !f.node.budgets.chosen(time.Now(), q.call.Service, positionOf(q.call)):
+		q.notRepeated = "the budget is kept for other chains"
+	case !f.pause(ctx):
+		q.notRepeated = "no time left"
+	default:
+		return f.repeat()
+	}
+	return false
+}
+
 // repeat pays for a further attempt, if the budget allows one.
 func (f *forwarding) repeat() bool {
 	q := f.request
 	allowed := f.node.budgets.take(time.Now(), f.node.runsOf(q.route, q.call.Service), int(q.call.Importance))
 	if allowed {
 		f.node.metrics.retries.Inc()
+	} else {
+		q.notRepeated = "the budget is used up"
 	}
 	return allowed
 }
--- a/mesh/load.go
+++ b/mesh/load.go
@@ -16,6 +16,20 @@
 	n.gate.SetInForce(cutoff)
 }
 
+// logBudgets writes which chains the retry budgets are kept for, while they do
+// not suffice for all.
+func (n *Node) logBudgets(now time.Time) {
+	if now.Sub(n.budgetsLogged) < loadLogInterval {
+		return
+	}
+	n.budgetsLogged = now
+	for service, s := range n.budgets.state(now) {
+		if s.Cutoff < float64(pressure.Open) {
+			n.log.Info("repeats limited", "service", service, "cutoff", s.Cutoff, "tokens", s.Tokens)
+		}
+	}
+}
+
 // logLoad writes what the node believes about the load of its target, often
 // enough to follow an overload and only while there is one.
 func (n *Node) logLoad(now time.Time) {
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -42,10 +42,22 @@
 	gauge("target_limit", func() float64 { s, _ := n.gate.Stats(); return float64(s.Limit) })
 	gauge("cutoff", func() float64 { return float64(n.gate.Cutoff()) })
 	gauge("members", func() float64 { return float64(present(n.gossip.Members())) })
+	gauge("store_in_touch", func() float64 {
+		if n.storeInTouch.Load() {
+			return 1
+		}
+		return 0
+	})
 	gauge("gossip_bytes_sent", func() float64 { return float64(n.gossip.Stats().BytesSent) })
 	return m
 }
 
+// budget registers the gauges of a service's retry budget.
+func (m *nodeMetrics) budget(n *Node, service string) {
+	m.set.GetOrCreateGauge(fmt.Sprintf("goldcrestsail_repeats_left{service=%q}", service), func() float64 { return n.budgets.stateOf(time.Now(), service).Tokens })
+	m.set.GetOrCreateGauge(fmt.Sprintf("goldcrestsail_repeats_cutoff{service=%q}", service), func() float64 { return n.budgets.stateOf(time.Now(), service).Cutoff })
+}
+
 // answered counts a request of a caller by route, outcome and kind. Routes that
 // are not published have no label, so that callers cannot make up metrics.
 func (m *nodeMetrics) answered(q *request, status int, failure *kind.Error, took time.Duration) {
--- a/mesh/metrics_test.go
+++ b/mesh/metrics_test.go
@@ -23,6 +23,7 @@
 	defer n.Close()
 	q := &request{route: &routetable.Route{Name: "r"}, call: &message.Call{}}
 	n.metrics.answered(q, 503, kind.New(kind.Shed, ""), time.Second)
+	n.metrics.budget(n, "s")
 	for _, h := range []interface{ Update(float64) }{n.metrics.hop, n.metrics.atTarget, n.metrics.queued} {
 		h.Update(1)
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -35,7 +35,8 @@
 	saturatedFactor = 1.7
 	// maxLatencyFactor lets a target that is twelve times as slow lose its work.
 	maxLatencyFactor = 16.0
-	// loadLogInterval bounds the lines about an overloaded target.
+	// loadLogInterval bounds the lines about an overloaded target and about a
+	// retry budget that does not suffice.
 	loadLogInterval = 500 * time.Millisecond
 	// defaultTimeout is the time left of a request that states none.
 	defaultTimeout = 30 * time.Second
@@ -83,8 +84,13 @@
 	lines            *nodelog.Limiter
 	answered         atomic.Uint64
 	suppressedLogged time.Time
-	// loadLogged is when the load of the target was last logged.
-	loadLogged time.Time
+	// loadLogged is when the load of the target was last logged, budgetsLogged the
+	// same for the retry budgets.
+	loadLogged, budgetsLogged time.Time
+	// storeInTouch reports that the last call to the store was answered.
+	storeInTouch atomic.Bool
+	// storeTried reports that a call to the store has ended.
+	storeTried atomic.Bool
 	// pulling is true while a configuration is fetched from a peer.
 	pulling atomic.Bool
 }
@@ -201,6 +207,7 @@
 			n.refreshTarget(now)
 			n.shareCutoff(now)
 			n.logLoad(now)
+			n.logBudgets(now)
 			n.logSuppressed(now)
 		}
 	}
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -35,6 +35,8 @@
 	// attempts counts the targets that may have run the request, sent all
 	// attempts.
 	attempts, sent int
+	// notRepeated says why the last attempt was not followed by another one.
+	notRepeated string
 }
 
 // serve answers a request of a client or of the target.
@@ -121,7 +123,7 @@
 // checkChain refuses a request whose chain a service would refuse.
 func (n *Node) checkChain(q *request) *kind.Error {
 	now := time.Now()
-	position := pressure.Position(int(q.call.Importance), float64(q.call.ChainLevel)/admission.ChainLevels)
+	position := positionOf(q.call)
 	n.chains.mu.Lock()
 	verdict := n.chains.table.Check(q.route.Name, q.call.Service, position, now)
 	n.chains.mu.Unlock()
@@ -133,6 +135,11 @@
 	return nil
 }
 
+// positionOf returns the position of a call's chain.
+func positionOf(call *message.Call) float64 {
+	return pressure.Position(int(call.Importance), float64(call.ChainLevel)/admission.ChainLevels)
+}
+
 func (n *Node) learnChain(route *routetable.Route, visited []message.Visit) {
 	runs := make(map[string]float64, len(visited))
 	for _, v := range visited {
--- a/node/admin.go
+++ b/node/admin.go
@@ -1,10 +1,11 @@
 package node
 
 import (
-	"encoding/json"
 	"net/http"
 
 	"github.com/google/uuid"
+
+	"github.com/goldcrestsail/goldcrestsail/statedump"
 )
 
 // adminHandler serves metrics, the state dump and drain.
@@ -20,20 +21,12 @@
 }
 
 func (n *Node) serveDump(w http.ResponseWriter, r *http.Request) {
-	section := r.URL.Query().Get("section")
-	state := n.Dump()
-	if section != "" {
-		part, ok := state[section]
-		if !ok {
-			writeError(w, uuid.NewString(), malformed("section", section, "one of "+sectionNames(state)))
-			return
-		}
-		state = map[string]any{section: part}
+	state, failure := statedump.Select(r, n.Dump())
+	if failure != nil {
+		writeError(w, uuid.NewString(), failure)
+		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	encoder := json.NewEncoder(w)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(state); err != nil {
+	if err := statedump.Write(w, state); err != nil {
 		n.log.Error("dump not written", "error", err)
 	}
 }
--- a/node/dump.go
+++ b/node/dump.go
@@ -1,11 +1,6 @@
 package node
 
-import (
-	"maps"
-	"slices"
-	"strings"
-	"time"
-)
+import "time"
 
 // Dump returns the state of the node by section, for operators.
 func (n *Node) Dump() map[string]any {
@@ -46,7 +41,3 @@
 		},
 	}
 }
-
-func sectionNames(state map[string]any) string {
-	return strings.Join(slices.Sorted(maps.Keys(state)), ", ")
-}
