Let mesh decide how a node recovers; stop guessing parents by deadline

Once a target has named one of its sub-calls by the parent's ID, deadlines are neither compared nor brought forward. TestSubCallFindsItsParent checks both, and fails on the code before.

--- a/mesh/admin.go
+++ b/mesh/admin.go
@@ -49,7 +49,7 @@
 		},
 		"config":     map[string]any{"version": n.configuration.version()},
 		"target":     describeReport(n.target.current(now)),
-		"departures": n.Departures(),
+		"departures": n.departures(),
 		"queue": map[string]any{"running": queue.Running, "waiting": queue.Waiting, "limit": queue.Limit, "cutoff": float64(n.gate.Cutoff()),
 			"at_target": n.running.len(), "service_time_ms": limits.ServiceTime.Milliseconds()},
 		"routes":  n.directory.Snapshot(now),
--- a/mesh/budgets.go
+++ b/mesh/budgets.go
@@ -56,25 +56,19 @@
 
 // configure replaces the bounds of all nodes together.
 func (b *budgets) configure(now time.Time, c BudgetConfig) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if c == b.config {
-		return
-	}
-	b.config = c
-	for _, s := range b.services {
-		s.Configure(b.parts(s.sum()), now)
-	}
+	b.change(now, func() { b.config = c })
 }
 
 // resize splits the slack among another number of nodes.
 func (b *budgets) resize(now time.Time, nodes int) {
+	b.change(now, func() { b.nodes = nodes })
+}
+
+// change brings the budgets of all services in line with changed bounds.
+func (b *budgets) change(now time.Time, set func()) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if nodes == b.nodes {
-		return
-	}
-	b.nodes = nodes
+	set()
 	for _, s := range b.services {
 		s.Configure(b.parts(s.sum()), now)
 	}
--- a/mesh/config.go
+++ b/mesh/config.go
@@ -31,9 +31,12 @@
 	Grace time.Duration
 	// Budget bounds the repeated requests of all nodes together.
 	Budget BudgetConfig
-	// Seeds are gossip addresses to join through; more can be added later.
-	Seeds  []string
-	Logger hclog.Logger
+	// Seeds are gossip addresses to join through, besides those of Records.
+	Seeds []string
+	// Records outlast the process. Without them, the node sends no work to its
+	// target.
+	Records Records
+	Logger  hclog.Logger
 	// Seed makes random choices repeatable; 0 takes a random one.
 	Seed uint64
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -89,6 +89,8 @@
 	loadLogged, budgetsLogged time.Time
 	// storeInTouch reports that the last call to the store was answered.
 	storeInTouch atomic.Bool
+	// saving is held while the node's record is replaced.
+	saving sync.Mutex
 	// storeTried reports that a call to the store has ended.
 	storeTried atomic.Bool
 	// pulling is true while a configuration is fetched from a peer.
@@ -152,6 +154,9 @@
 	go n.callers.Serve(callers)
 	go n.peerServer.Serve(peers)
 	go n.tick(ctx)
+	if n.config.Records != nil {
+		go n.recover(ctx)
+	}
 	n.log.Info("node started", "instance", n.config.Name, "node_id", n.id.String(), "service", n.config.Service,
 		"failure_domain", n.config.FailureDomain, "region", n.config.Region)
 	return nil
@@ -177,9 +182,6 @@
 	return err
 }
 
-// AddSeeds adds gossip addresses of other nodes.
-func (n *Node) AddSeeds(addrs []netip.AddrPort) { n.gossip.AddSeeds(addrs) }
-
 // limits returns what callers may send.
 func (n *Node) limits() routetable.Limits {
 	if t := n.configuration.current(); t != nil {
--- a/mesh/reconfigure.go
+++ b/mesh/reconfigure.go
@@ -18,7 +18,7 @@
 	n.refreshTarget(now)
 }
 
-// Departures returns the departures of targets that this node knows.
-func (n *Node) Departures() []registration.Departure {
+// departures returns the departures of targets that this node knows.
+func (n *Node) departures() []registration.Departure {
 	return n.target.departures()
 }
--- a/mesh/reports.go
+++ b/mesh/reports.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"encoding/json"
 	"time"
 
@@ -23,9 +24,10 @@
 	usableShare = 0.949
 )
 
-// ReportTarget applies what the target beside the node says of itself. The
+// ReportTarget applies what the target beside the node says of itself. A
+// departure has been saved, if that was possible in time, when it returns. The
 // error has kind malformed when the report names no target to use.
-func (n *Node) ReportTarget(r registration.Report) error {
+func (n *Node) ReportTarget(ctx context.Context, r registration.Report) error {
 	now := time.Now()
 	if r.Service != *n.service.Load() && !n.servicePublished(r.Service) {
 		return kind.Newf(kind.Malformed, "service %q of the report is not published", r.Service)
@@ -47,35 +49,21 @@
 		}
 	}
 	n.refreshTarget(now)
+	if before.State != after.State {
+		n.saveDepartures(ctx)
+	}
 	return nil
 }
 
-// TargetLeft records that a target says it is gone, and returns the departure.
-func (n *Node) TargetLeft(targetID string, born int64) registration.Departure {
+// TargetLeft records and saves that a target says it is gone.
+func (n *Node) TargetLeft(ctx context.Context, targetID string, born int64) {
 	d := n.target.leave(targetID, born)
 	n.log.Info("target left", "target", targetID, "born", d.Born)
 	n.spreadDeparture(d)
 	n.refreshTarget(time.Now())
-	return d
-}
-
-// RememberDepartures applies departures that an earlier process of this node
-// has acknowledged.
-func (n *Node) RememberDepartures(departures []registration.Departure) {
-	n.target.remember(departures...)
-	n.refreshTarget(time.Now())
+	n.saveDepartures(ctx)
 }
 
-// SettleDepartures allows work to the target: what earlier processes of the
-// node have acknowledged is known, or cannot be had.
-func (n *Node) SettleDepartures() {
-	n.target.settle()
-	n.refreshTarget(time.Now())
-}
-
-// TargetState returns the report in force.
-func (n *Node) TargetState() registration.Report { return n.target.current(time.Now()) }
-
 // spreadDeparture tells the peers, who tell this node after a restart.
 func (n *Node) spreadDeparture(d registration.Departure) {
 	payload, err := json.Marshal(d)
--- a/mesh/running.go
+++ b/mesh/running.go
@@ -26,6 +26,10 @@
 	mu   sync.Mutex
 	runs map[*run]struct{}
 	byID map[string]*run
+	// named reports that the target has been seen to name its sub-calls by the ID
+	// of their parent. Deadlines are not compared any more then: a client's
+	// request may have that of another one by chance.
+	named bool
 }
 
 // run is one request at the target.
@@ -49,7 +53,10 @@
 func (r *running) begin(now time.Time, call *message.Call) *run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	x := &run{call: call, started: now, deadline: r.freeDeadline(call.Deadline)}
+	x := &run{call: call, started: now, deadline: call.Deadline}
+	if !r.named {
+		x.deadline = r.freeDeadline(call.Deadline)
+	}
 	r.runs[x] = struct{}{}
 	r.byID[call.ID] = x
 	return x
@@ -94,13 +101,14 @@
 }
 
 // match returns the request that a sub-call belongs to, or nil, and records that
-// the sub-call is outstanding. The parent's ID decides if the caller told it,
+// the sub-call is outstanding. The parent's ID decides if the target names it,
 // otherwise the deadline, which the sub-call shares with its parent.
 func (r *running) match(now time.Time, parentID string, deadline time.Time) *run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	best := r.byID[parentID]
-	if parentID == "" {
+	r.named = r.named || best != nil
+	if parentID == "" && !r.named {
 		distance := matchTolerance
 		for x := range r.runs {
 			if d := x.deadline.Sub(deadline).Abs(); d < distance {
--- a/mesh/running_test.go
+++ b/mesh/running_test.go
@@ -20,11 +20,14 @@
 	r := newRunning()
 	a := r.begin(now, runCall("a", now.Add(time.Second)))
 	b := r.begin(now, runCall("b", now.Add(time.Second)))
-	require.Same(t, b, r.match(now, "b", now.Add(time.Second)))
 	require.Nil(t, r.match(now, "gone", a.deadline), "an ID that names another parent is not matched by deadline")
 	require.Same(t, a, r.match(now, "", a.deadline.Add(time.Millisecond)))
 	require.Same(t, b, r.match(now, "", b.deadline))
 	require.Nil(t, r.match(now, "", now.Add(2*time.Second)))
+	require.Same(t, b, r.match(now, "b", now.Add(time.Second)))
+	require.Nil(t, r.match(now, "", a.deadline), "the target names its sub-calls, so this is a client's request")
+	c := r.begin(now, runCall("c", now.Add(time.Second)))
+	require.Equal(t, now.Add(time.Second), c.deadline, "no deadline is brought forward once sub-calls are named")
 	require.GreaterOrEqual(t, a.deadline.Sub(b.deadline).Abs(), deadlineSpacing, "equal deadlines are told apart")
 }
 
