Avoid targets that are too slow for the time that a call has left

Cause: at ths one target of a service has 0.6 of the usual speed, and an order with a time-out of 1.2 s takes 0.77 s there in the mean. Routing keeps a call in its failure domain while the target there is at most three times as slow, and compares targets by a mean over all routes, in which short sub-calls hide the long requests. Response times are now kept by route, and a target whose mean is above half of the time left is avoided while faster ones have slots to spare.

--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -99,7 +99,7 @@
 	if reply.Failure != nil {
 		n.logAttempt(call, string(id), id == n.selfID(), reply.Failure, now.Sub(start))
 	}
-	n.directory.Done(now, call.Service, id, resultOf(int(call.Importance), now.Sub(start), reply))
+	n.directory.Done(now, call.Service, id, resultOf(f.request, now.Sub(start), reply))
 	n.observeCutoffs(call.Service, id, reply, now)
 	return reply
 }
@@ -117,7 +117,8 @@
 
 func (f *forwarding) pick(now time.Time) (routing.TargetID, string, *kind.Error) {
 	call := f.request.call
-	in := routing.PickInput{Exclude: f.tried, MayProbe: !call.Unsafe, Importance: int(call.Importance)}
+	in := routing.PickInput{Exclude: f.tried, MayProbe: !call.Unsafe, Importance: int(call.Importance), Class: f.request.route.Name}
+	in.Within = time.Duration(float64(call.Deadline.Sub(now)) * deadlineShare)
 	if n := len(f.refusedBy); n >= max(f.request.route.MaxAttempts, 1) {
 		// The request may go to no further target, but to those that refused it.
 		in = routing.PickInput{Pinned: f.refusedBy[n%max(f.request.route.MaxAttempts, 1)]}
@@ -241,8 +242,8 @@
 }
 
 // resultOf returns what routing learns from a reply.
-func resultOf(importance int, latency time.Duration, reply *message.Reply) routing.Result {
-	result := routing.Result{Importance: importance, Latency: latency}
+func resultOf(q *request, latency time.Duration, reply *message.Reply) routing.Result {
+	result := routing.Result{Importance: int(q.call.Importance), Latency: latency}
 	if reply.Failure != nil {
 		result.Kind = reply.Failure.Kind
 	}
@@ -250,6 +251,8 @@
 		result.Responded, result.Status = true, reply.Response.Status
 		if reply.DependencyFailed {
 			result.Status = http.StatusOK
+		} else {
+			result.Class = q.route.Name
 		}
 	}
 	if load := reply.Load; load != nil {
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -48,8 +48,9 @@
 // choose takes the better of two from the node's own failure domain while that
 // target has room and costs little more than the better of two elsewhere.
 func (t *Table) choose(rng *rand.Rand, now time.Time, in *PickInput) *target {
-	local, localCost := t.betterOfTwo(rng, now, in, t.local)
-	remote, remoteCost := t.betterOfTwo(rng, now, in, t.remote)
+	near, far := t.fastEnough(now, in)
+	local, localCost := t.betterOfTwo(rng, now, in, near)
+	remote, remoteCost := t.betterOfTwo(rng, now, in, far)
 	if local == nil || remote == nil {
 		if local == nil {
 			return remote
--- a/routing/pick_input.go
+++ b/routing/pick_input.go
@@ -1,5 +1,7 @@
 package routing
 
+import "time"
+
 // PickInput is what Pick needs to know about one call.
 type PickInput struct {
 	// Exclude lists the targets already tried for this request.
@@ -19,6 +21,11 @@
 	// Importance of the call; 0 is the most important. Work that is less
 	// important does not delay the call and so does not count against a target.
 	Importance int
+	// Class names the calls that take about the same time, such as those of one
+	// route. Targets that took longer than Within for calls of the class are
+	// avoided while faster ones have slots to spare. Empty and 0 mean no bound.
+	Class  string
+	Within time.Duration
 	// MayProbe allows the call to probe an ejected target. The caller sets it
 	// for retryable requests only. It does not ask for retry allowance: the
 	// calls at the end of a long chain have none left, and without them no
--- a/routing/table.go
+++ b/routing/table.go
@@ -36,12 +36,16 @@
 	reopenAt time.Time
 
 	scratch []*target
+	// classes holds the mean response time by class of call, over all targets.
+	classes map[string]*classTime
+	// fastLocal and fastRemote are the parts of the subset for the latest call.
+	fastLocal, fastRemote []*target
 }
 
 // NewTable returns an empty table.
 func NewTable(o Options) *Table {
 	o.applyDefaults()
-	return &Table{options: o, node: hashString(o.Node), byID: map[TargetID]*target{}, stale: true}
+	return &Table{options: o, node: hashString(o.Node), byID: map[TargetID]*target{}, classes: map[string]*classTime{}, stale: true}
 }
 
 // Update adds a target or changes what the membership says about it.
@@ -49,7 +53,7 @@
 	g := t.byID[m.ID]
 	if g == nil {
 		h := hashString(string(m.ID))
-		g = &target{member: m, hash: h, rank: combine(h, t.node)}
+		g = &target{member: m, hash: h, rank: combine(h, t.node), classes: map[string]*classTime{}}
 		t.byID[m.ID] = g
 		at, _ := slices.BinarySearchFunc(t.ranking, g, byRank)
 		t.ranking = slices.Insert(t.ranking, at, g)
@@ -135,6 +139,7 @@
 	switch v {
 	case success:
 		g.failures = 0
+		t.learnClass(g, now, r.Class, r.Latency)
 		if r.Load == nil || r.Load.ServiceTime == 0 {
 			t.learnLatency(g, now, r.Latency)
 		}
--- a/routing/target.go
+++ b/routing/target.go
@@ -25,6 +25,8 @@
 
 	latency   float64 // seconds; 0 means no sample
 	latencyAt time.Time
+	// classes holds the mean response time by class of call.
+	classes map[string]*classTime
 
 	// refusals counts by importance; each halves every refusalHalfLife.
 	refusals  [importances]float64
