Set the cutoff on time while requests arrive without a pause

Cause: the gate's timer was set anew by every arrival and release, 50 ms ahead, so that under a burst it did not fire until a request ran out of time. For 1.5 to 2 s neither the cutoff nor the limiter was brought up to date.

The time of the next tick is kept now.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -36,7 +36,9 @@
 	importance   map[admission.ID]int
 	byImportance [policy.MaxImportance + 1]uint32
 	nextID       admission.ID
-	timer        *time.Timer
+	// timer runs tick, at nextTick or when the first waiting time is up.
+	timer    *time.Timer
+	nextTick time.Time
 	// control bounds what new chains may send towards the target.
 	control *pressure.Controller
 	// inForce is the cutoff that the starts of chains apply.
@@ -59,7 +61,8 @@
 	g.control = pressure.NewController(now)
 	g.inForce = pressure.Open
 	g.started = map[admission.ID]time.Time{}
-	g.timer = time.AfterFunc(time.Hour, g.tick)
+	g.nextTick = now.Add(limit.TickInterval)
+	g.timer = time.AfterFunc(limit.TickInterval, g.tick)
 	return g
 }
 
@@ -206,6 +209,15 @@
 	return g.control.Cutoff()
 }
 
+// Demand returns the requests per second that arrive, and that the target serves
+// when all slots are in use; 0 means unknown.
+func (g *Gate) Demand() (arrivals, capacity float64) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.control.Arrivals(pressure.Importances), g.capacityLocked(g.queue.Stats(now).Limit)
+}
+
 // Level returns the admission level.
 func (g *Gate) Level() admission.Rank {
 	g.mu.Lock()
@@ -218,14 +230,16 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.limiter.Tick(now)
-	stats := g.queue.Stats(now)
-	g.control.Tick(now, pressure.Input{
-		Capacity: g.capacityLocked(stats.Limit), Slots: stats.Limit, Waiting: stats.Waiting, InForce: g.inForce,
-	})
+	if !now.Before(g.nextTick) {
+		g.nextTick = now.Add(limit.TickInterval)
+		g.limiter.Tick(now)
+		stats := g.queue.Stats(now)
+		g.control.Tick(now, pressure.Input{
+			Capacity: g.capacityLocked(stats.Limit), Slots: stats.Limit, Waiting: stats.Waiting, InForce: g.inForce,
+		})
+	}
 	g.settleLocked(now, g.queue.Expire(now))
 	g.settleLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
-	g.timer.Reset(limit.TickInterval)
 }
 
 // settleLocked hands decisions to the requests that wait for them and sets the
@@ -243,9 +257,12 @@
 			}
 		}
 	}
-	if next, ok := g.queue.NextExpiry(); ok {
-		g.timer.Reset(min(max(next.Sub(now), 0), limit.TickInterval))
+	// Requests that arrive must not put off the next tick.
+	wake := g.nextTick
+	if next, ok := g.queue.NextExpiry(); ok && next.Before(wake) {
+		wake = next
 	}
+	g.timer.Reset(max(wake.Sub(now), 0))
 }
 
 // Close stops the timer.
--- a/mesh/load.go
+++ b/mesh/load.go
@@ -41,7 +41,8 @@
 		return
 	}
 	n.loadLogged = now
-	n.log.Info("target under load", "running", load.Running, "waiting", load.Waiting, "limit", load.Limit, "cutoff", load.Cutoff,
+	arrivals, capacity := n.gate.Demand()
+	n.log.Info("target under load", "arrivals_per_s", int(arrivals), "capacity_per_s", int(capacity), "running", load.Running, "waiting", load.Waiting, "limit", load.Limit, "cutoff", load.Cutoff,
 		"service_time_ms", load.ServiceTime.Milliseconds(), "by_importance", load.ByImportance)
 }
 
--- a/pressure/controller.go
+++ b/pressure/controller.go
@@ -69,6 +69,16 @@
 // Cutoff returns the cutoff in force.
 func (c *Controller) Cutoff() Cutoff { return c.cutoff }
 
+// Arrivals returns the mean number of requests per second that were offered to
+// the queue, up to the given importance.
+func (c *Controller) Arrivals(importance int) float64 {
+	sum := 0.0
+	for _, rate := range c.rate[:min(importance+1, Importances)] {
+		sum += rate
+	}
+	return sum
+}
+
 // Tick ends the interval if it is over.
 func (c *Controller) Tick(now time.Time, in Input) {
 	elapsed := now.Sub(c.began)
