Avoid targets whose queue or speed outlasts a call

Calls that a target had and did not answer enter its mean for their route; a target is left out when its queue and its own work take longer than 0.9 of the time left, as long as there is another.

--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -117,8 +117,9 @@
 
 func (f *forwarding) pick(now time.Time) (routing.TargetID, string, *kind.Error) {
 	call := f.request.call
-	in := routing.PickInput{Exclude: f.tried, MayProbe: !call.Unsafe, Importance: int(call.Importance), Class: f.request.route.Name}
-	in.Within = time.Duration(float64(call.Deadline.Sub(now)) * deadlineShare)
+	in := routing.PickInput{
+		Exclude: f.tried, MayProbe: !call.Unsafe, Importance: int(call.Importance), Class: f.request.route.Name, Left: call.Deadline.Sub(now),
+	}
 	if n := len(f.refusedBy); n >= max(f.request.route.MaxAttempts, 1) {
 		// The request may go to no further target, but to those that refused it.
 		in = routing.PickInput{Pinned: f.refusedBy[n%max(f.request.route.MaxAttempts, 1)]}
@@ -246,6 +247,10 @@
 	result := routing.Result{Importance: int(q.call.Importance), Latency: latency}
 	if reply.Failure != nil {
 		result.Kind = reply.Failure.Kind
+		if result.Kind == kind.DeadlineExpired && reply.Load != nil && reply.Failure.Run != kind.NotRun {
+			// The target had the request, and its node says that it did not answer.
+			result.Class = q.route.Name
+		}
 	}
 	if reply.Response != nil {
 		result.Responded, result.Status = true, reply.Response.Status
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -19,10 +19,6 @@
 	// a client may wait for a slot: the rest is for the work itself.
 	rootWaitShare = 0.5
 	minRootWait   = 20 * time.Millisecond
-	// deadlineShare is the part of the time left within which a target should
-	// respond in the mean. Response times vary: about one in twenty takes twice
-	// the mean.
-	deadlineShare = 0.5
 	// maxSubCallWait bounds the wait of a call of a chain that has begun: refusing
 	// it wastes what the chain has cost, so its deadline is what counts.
 	maxSubCallWait = 2 * time.Second
--- a/routing/cost.go
+++ b/routing/cost.go
@@ -52,15 +52,20 @@
 // the work that goes first. Otherwise a long queue of less important calls
 // would hide which targets have room for important ones.
 func (t *Table) utilization(g *target, now time.Time, importance int) float64 {
+	all, first := t.loadOf(g, now, importance)
+	return (min(all, 1) + min(first, all)) / 2
+}
+
+// loadOf returns the work at a target over its limit: all of it, and the part
+// that is at least as important as a call.
+func (t *Table) loadOf(g *target, now time.Time, importance int) (all, first float64) {
 	others, ahead := t.meanOthers, t.meanAhead[clamp(importance)]
 	if !g.loadAt.IsZero() {
 		w := halved(1, now.Sub(g.loadAt), t.options.LoadHalfLife)
 		others = w*g.othersAtLoad() + (1-w)*others
 		ahead = w*g.aheadAtLoad(importance) + (1-w)*ahead
 	}
-	all := float64(g.own)/g.limit() + others
-	first := float64(sumTo(g.ownBy[:], importance))/g.limit() + ahead
-	return (min(all, 1) + min(first, all)) / 2
+	return float64(g.own)/g.limit() + others, float64(sumTo(g.ownBy[:], importance))/g.limit() + ahead
 }
 
 // othersAtLoad is the utilization by other nodes in the last report.
--- a/routing/pick_input.go
+++ b/routing/pick_input.go
@@ -22,10 +22,10 @@
 	// important does not delay the call and so does not count against a target.
 	Importance int
 	// Class names the calls that take about the same time, such as those of one
-	// route. Targets that took longer than Within for calls of the class are
-	// avoided while faster ones have slots to spare. Empty and 0 mean no bound.
-	Class  string
-	Within time.Duration
+	// route. Targets that are too slow for calls of the class with the time Left
+	// are avoided. Empty and 0 mean no bound.
+	Class string
+	Left  time.Duration
 	// MayProbe allows the call to probe an ejected target. The caller sets it
 	// for retryable requests only. It does not ask for retry allowance: the
 	// calls at the end of a long chain have none left, and without them no
--- a/routing/result.go
+++ b/routing/result.go
@@ -12,7 +12,8 @@
 	// the caller gave up. Only the latency of responses of the target itself
 	// enters the average.
 	Latency time.Duration
-	// Class is that of the PickInput, if the latency says how fast the target is.
+	// Class is that of the PickInput, if the latency says how fast the target is:
+	// that of a response, or the time after which there was none.
 	Class string
 	// Importance is that of the call, as given to StartClass.
 	Importance int
--- a/routing/table.go
+++ b/routing/table.go
@@ -126,6 +126,9 @@
 		g.quietSince, g.unanswered = now, 0
 	}
 	v := judge(&r)
+	if r.Kind == kind.DeadlineExpired {
+		t.learnUnanswered(g, now, r.Class, r.Latency)
+	}
 	if g.load.ServiceTime == 0 && (r.Kind == kind.DeadlineExpired && v == failure || r.Kind == kind.Canceled) {
 		// The response would have taken longer than this.
 		t.learnAtLeast(g, now, r.Latency)
