Leave a peer that does not answer probes after 0.4 s

Cause: a node that loses power answers nothing, and calls to it waited for 1 s until the connection was given up; a call of the deep service has 0.7 s. Probes start after 150 ms now; after 400 ms without an answer no new call goes there and idempotent calls are sent elsewhere. Unsafe ones wait for 1 s as before.

Ruled out: giving the connection up that soon: a packet lost twice takes 0.6 s, and an unsafe call's response may still come.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -107,6 +107,18 @@
 	}
 }
 
+// Suspend keeps calls from the targets whose node serves peers at an address,
+// unless no others are left.
+func (d *Directory) Suspend(now time.Time, address string, until time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, e := range d.endpoints {
+		if e.address == address {
+			d.tables[e.service].Suspend(now, id, until)
+		}
+	}
+}
+
 // Address returns the peer address of a target's node.
 func (d *Directory) Address(id routing.TargetID) (string, bool) {
 	d.mu.Lock()
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -71,6 +71,19 @@
 	}
 }
 
+// suspendTime is how long no call goes to a peer that does not answer probes,
+// from each check on: a little longer than until the next one.
+const suspendTime = 2 * tickInterval
+
+// checkPeers keeps calls from peers that do not answer, before the membership
+// knows that they are gone.
+func (n *Node) checkPeers(now time.Time) {
+	for _, address := range n.peers.Check(now) {
+		n.directory.Suspend(now, address, now.Add(suspendTime))
+		n.event("peer suspected", "peer", address)
+	}
+}
+
 // targetState maps the state of the target to what the members are told.
 func (n *Node) targetState(r registration.Report) membership.TargetState {
 	if n.closing.Load() {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -204,7 +204,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			n.peers.Check(now)
+			n.checkPeers(now)
 			n.client.Trim(now)
 			n.refreshTarget(now)
 			n.shareCutoff(now)
--- a/peerlink/client.go
+++ b/peerlink/client.go
@@ -1,6 +1,7 @@
 package peerlink
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -17,10 +18,16 @@
 	// redialDelay is how long calls to an unreachable peer fail at once.
 	redialDelay = 200 * time.Millisecond
 	// pingAfter is how long nothing has arrived, while calls wait, when the
-	// connection is probed, and silentAfter when it is given up. A peer whose
-	// processor share is used up for a moment still answers within the latter.
-	pingAfter   = 250 * time.Millisecond
-	silentAfter = time.Second
+	// connection is probed, suspectAfter when idempotent calls look for another
+	// peer, and silentAfter when it is given up. A lost packet is sent again after
+	// 200 ms and once more after another 400 ms, and a peer whose processor share
+	// is used up for a moment still answers within silentAfter.
+	pingAfter    = 150 * time.Millisecond
+	suspectAfter = 400 * time.Millisecond
+	silentAfter  = time.Second
+	// pongTime is how long a probe is given at least: this process may have been
+	// the one that stood still.
+	pongTime = 200 * time.Millisecond
 )
 
 var errSilent = errors.New("nothing arrived from the peer")
@@ -42,10 +49,18 @@
 	*conn
 	mu      sync.Mutex
 	nextID  uint64
-	waiting map[uint64]chan frame
+	waiting map[uint64]waiter
 	heard   time.Time
-	pinged  bool
-	err     error
+	// pingedAt is when the connection was probed since then, or zero.
+	pingedAt time.Time
+	err      error
+}
+
+// waiter is a call that waits for its reply.
+type waiter struct {
+	answer chan frame
+	// movable reports that the call may run elsewhere as well.
+	movable bool
 }
 
 // NewClient returns a client that dials with the first call.
@@ -82,14 +97,13 @@
 	return f.body, nil
 }
 
-// check looks for a connection that has gone silent.
-func (c *Client) check(now time.Time) {
+// check looks for a connection that has gone silent, and reports whether the
+// peer is suspected to be gone.
+func (c *Client) check(now time.Time) (suspect bool) {
 	c.mu.Lock()
 	s := c.session
 	c.mu.Unlock()
-	if s != nil {
-		s.check(now)
-	}
+	return s != nil && !s.ended() && s.check(now)
 }
 
 // Close ends the connection.
@@ -139,7 +153,7 @@
 	c.dialing = nil
 	c.failure, c.failedAt = err, time.Now()
 	if err == nil {
-		s := &session{conn: newConn(nc), waiting: map[uint64]chan frame{}, heard: time.Now()}
+		s := &session{conn: newConn(nc), waiting: map[uint64]waiter{}, heard: time.Now()}
 		c.session = s
 		go s.read()
 	}
@@ -161,11 +175,11 @@
 		return frame{}, kind.Newf(kind.DialFailed, "the connection to the peer has ended: %v", s.err)
 	}
 	if len(s.waiting) == 0 {
-		s.heard, s.pinged = time.Now(), false
+		s.heard, s.pingedAt = time.Now(), time.Time{}
 	}
 	s.nextID++
 	f.id = s.nextID
-	s.waiting[f.id] = answer
+	s.waiting[f.id] = waiter{answer: answer, movable: f.call != nil && !f.call.Unsafe}
 	s.mu.Unlock()
 	if !s.send(f) {
 		s.forget(f.id)
@@ -177,9 +191,9 @@
 			return got, nil
 		}
 		s.mu.Lock()
-		err := s.err
+		err := cmp.Or(s.err, errSilent)
 		s.mu.Unlock()
-		return frame{}, kind.Newf(kind.PeerLost, "the connection to the peer ended: %v", err)
+		return frame{}, kind.Newf(kind.PeerLost, "no reply on the connection to the peer: %v", err)
 	case <-ctx.Done():
 		s.forget(f.id)
 		s.send(frame{kind: frameCancel, id: f.id})
@@ -207,36 +221,60 @@
 			return
 		}
 		s.mu.Lock()
-		s.heard, s.pinged = time.Now(), false
-		answer := s.waiting[f.id]
-		if f.kind == framePong {
-			answer = nil
-		}
-		if answer != nil {
+		s.heard, s.pingedAt = time.Now(), time.Time{}
+		w, waits := s.waiting[f.id]
+		waits = waits && f.kind != framePong
+		if waits {
 			delete(s.waiting, f.id)
 		}
 		s.mu.Unlock()
-		if answer != nil {
-			answer <- f
+		if waits {
+			w.answer <- f
 		}
 	}
 }
 
-// check probes the connection while calls wait and nothing arrives.
-func (s *session) check(now time.Time) {
+// check probes the connection while calls wait and nothing arrives. It reports
+// whether the peer is suspected to be gone.
+func (s *session) check(now time.Time) (suspect bool) {
 	s.mu.Lock()
 	quiet := now.Sub(s.heard)
-	silent := len(s.waiting) > 0 && quiet > silentAfter && s.pinged
-	ping := len(s.waiting) > 0 && quiet > pingAfter && !s.pinged
-	s.pinged = s.pinged || ping
+	probed := !s.pingedAt.IsZero() && now.Sub(s.pingedAt) >= pongTime
+	waits := len(s.waiting) > 0
+	silent := quiet > silentAfter && probed
+	suspect = quiet > suspectAfter && probed
+	ping := waits && quiet > pingAfter && s.pingedAt.IsZero()
+	if ping {
+		s.pingedAt = now
+	}
 	s.mu.Unlock()
-	if silent {
+	switch {
+	case silent:
 		s.fail(errSilent)
-		return
-	}
-	if ping {
+	case suspect:
+		s.moveCalls()
+	case ping:
 		s.send(frame{kind: framePing})
 	}
+	return suspect
+}
+
+// moveCalls ends the wait of the calls that may run elsewhere, and tells the
+// peer, in case it is still there.
+func (s *session) moveCalls() {
+	s.mu.Lock()
+	var moved []uint64
+	for id, w := range s.waiting {
+		if w.movable {
+			moved = append(moved, id)
+			delete(s.waiting, id)
+			close(w.answer)
+		}
+	}
+	s.mu.Unlock()
+	for _, id := range moved {
+		s.send(frame{kind: frameCancel, id: id})
+	}
 }
 
 // fail ends the session and all calls that wait on it.
@@ -246,10 +284,10 @@
 		s.err = err
 	}
 	waiting := s.waiting
-	s.waiting = map[uint64]chan frame{}
+	s.waiting = map[uint64]waiter{}
 	s.mu.Unlock()
 	s.close()
-	for _, answer := range waiting {
-		close(answer)
+	for _, w := range waiting {
+		close(w.answer)
 	}
 }
--- a/peerlink/peerlink_test.go
+++ b/peerlink/peerlink_test.go
@@ -188,13 +188,12 @@
 	<-ended
 }
 
-// Guards against calls that wait for ever on a connection that has gone silent,
-// and against saying that they have not run.
-func TestSilentConnectionIsGivenUp(t *testing.T) {
+// silentPeer accepts a connection and never answers; it reports each read.
+func silentPeer(t *testing.T) (address string, read chan struct{}) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer l.Close()
-	read := make(chan struct{}, 16)
+	t.Cleanup(func() { l.Close() })
+	read = make(chan struct{}, 16)
 	go func() {
 		c, err := l.Accept()
 		if err != nil {
@@ -209,11 +208,18 @@
 			read <- struct{}{}
 		}
 	}()
+	return l.Addr().String(), read
+}
+
+// Guards against calls that wait for ever on a connection that has gone silent,
+// and against saying that they have not run.
+func TestSilentConnectionIsGivenUp(t *testing.T) {
+	address, read := silentPeer(t)
 	pool := NewPool()
 	defer pool.Close()
 	failed := make(chan *kind.Error, 1)
 	go func() {
-		_, failure := pool.Get(l.Addr().String()).Call(context.Background(), testCall("a"))
+		_, failure := pool.Get(address).Call(context.Background(), testCall("a"))
 		failed <- failure
 	}()
 	<-read
@@ -231,6 +237,39 @@
 	require.Equal(t, kind.MayHaveRun, failure.Run)
 }
 
+// Guards against idempotent calls that wait at a peer which has lost power until
+// no time is left to send them elsewhere, and against giving up an unsafe call
+// whose response may still come.
+func TestIdempotentCallsLeaveASilentPeer(t *testing.T) {
+	address, read := silentPeer(t)
+	pool := NewPool()
+	defer pool.Close()
+	call := func(unsafe bool) chan *kind.Error {
+		failed := make(chan *kind.Error, 1)
+		go func() {
+			c := testCall("a")
+			c.Unsafe = unsafe
+			_, failure := pool.Get(address).Call(context.Background(), c)
+			failed <- failure
+		}()
+		<-read
+		return failed
+	}
+	safe, unsafe := call(false), call(true)
+	now := time.Now()
+	require.Empty(t, pool.Check(now.Add(2*pingAfter)))
+	<-read
+	require.Equal(t, []string{address}, pool.Check(now.Add(2*pingAfter+pongTime)))
+	require.Equal(t, kind.PeerLost, (<-safe).Kind)
+	select {
+	case <-unsafe:
+		t.Fatal("an unsafe call was given up")
+	case <-time.After(20 * time.Millisecond):
+	}
+	pool.Check(now.Add(2 * silentAfter))
+	require.Equal(t, kind.MayHaveRun, (<-unsafe).Run)
+}
+
 // Guards against a peer that is gone and holds up its callers.
 func TestUnreachablePeerHasNotRunTheCall(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/peerlink/pool.go
+++ b/peerlink/pool.go
@@ -27,11 +27,12 @@
 }
 
 // CheckInterval is how often Check is to be called.
-const CheckInterval = 100 * time.Millisecond
+const CheckInterval = 50 * time.Millisecond
 
 // Check probes connections on which calls wait and nothing arrives, and gives
-// up those that stay silent.
-func (p *Pool) Check(now time.Time) {
+// up those that stay silent. It returns the addresses of the peers that are
+// suspected to be gone.
+func (p *Pool) Check(now time.Time) (suspects []string) {
 	p.mu.Lock()
 	clients := make([]*Client, 0, len(p.clients))
 	for _, c := range p.clients {
@@ -39,8 +40,11 @@
 	}
 	p.mu.Unlock()
 	for _, c := range clients {
-		c.check(now)
+		if c.check(now) {
+			suspects = append(suspects, c.address)
+		}
 	}
+	return suspects
 }
 
 // Remove closes the client of a peer that is gone.
--- a/routing/table.go
+++ b/routing/table.go
@@ -183,6 +183,15 @@
 	}
 }
 
+// Suspend keeps calls from a target for a time, unless no other one may get
+// work.
+func (t *Table) Suspend(now time.Time, id TargetID, until time.Time) {
+	g := t.byID[id]
+	if g != nil && (!g.open(now) || t.Usable(now) > 1) {
+		t.closeUntil(g, until)
+	}
+}
+
 func (t *Table) closeUntil(g *target, until time.Time) {
 	g.close(until)
 	t.stale = true
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -351,3 +351,29 @@
 	}
 	require.Greater(t, picked, 50)
 }
+
+// Guards against calls to a target whose node is suspected to be gone, and
+// against a service without any target because all are suspected, as after a
+// pause of the own process.
+func TestSuspendedTargetGetsNoCallsUnlessItIsTheLast(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	now := time.Unix(0, 0)
+	table := NewTable(Options{Node: "n"})
+	for _, id := range []TargetID{"a", "b"} {
+		table.Update(now, Member{ID: id, State: Ready, Slots: 1})
+	}
+	table.Suspend(now, "a", now.Add(time.Second))
+	table.Suspend(now, "b", now.Add(time.Second))
+	for range 20 {
+		id, err := table.Pick(rng, now, PickInput{})
+		require.NoError(t, err)
+		require.Equal(t, TargetID("b"), id)
+	}
+	ids := map[TargetID]bool{}
+	for range 50 {
+		id, err := table.Pick(rng, now.Add(2*time.Second), PickInput{})
+		require.NoError(t, err)
+		ids[id] = true
+	}
+	require.Len(t, ids, 2)
+}
