Compare targets by their own time for calls of a route; call up to 32 of them

Seven of 31 targets of the archive had 100 to 300 requests waiting, others none. Their nodes reported a service time of 8 ms, because they had got short sub-calls only; routing took them for fast and sent them more. Replies carry the target's own time for the call now, and a target is compared by it with the mean of the same route. Besides, each node called only 8 targets of a service, so that some targets were in the subsets of many busy nodes: 32 now.

Ruled out: the callers' observed times, which contain the queue and the sub-calls.

--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -63,7 +63,7 @@
 	reply := &message.Reply{Failure: failure, Cutoffs: n.cutoffsBelow(visited, time.Now()), DependencyFailed: dependencyFailed}
 	reply.Visited = append(visited, message.Visit{Service: call.Service, Runs: 1})
 	if failure == nil {
-		reply.Response = &response.Response
+		reply.Response, reply.OwnTime = &response.Response, own
 	}
 	return reply
 }
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -20,6 +20,10 @@
 	maxRefusals = 8
 	// refusalPause lets a target that is full for a moment end a request.
 	refusalPause = 3 * time.Millisecond
+	// subset is the number of targets of a service that a node calls. With 8 of 31
+	// targets, some were in the subsets of many busy nodes and overloaded beside
+	// idle ones; one connection to each is cheap.
+	subset = 32
 	// The margin between a caller's deadline and the one that the target's node
 	// is told lets the reply of that node arrive in time.
 	replyMargin = 4 * time.Millisecond
@@ -118,7 +122,8 @@
 func (f *forwarding) pick(now time.Time) (routing.TargetID, string, *kind.Error) {
 	call := f.request.call
 	in := routing.PickInput{
-		Exclude: f.tried, MayProbe: !call.Unsafe, Importance: int(call.Importance), Class: f.request.route.Name, Left: call.Deadline.Sub(now),
+		Exclude: f.tried, MayProbe: !call.Unsafe, Importance: int(call.Importance), Subset: subset,
+		Class: f.request.route.Name, Left: call.Deadline.Sub(now),
 	}
 	if n := len(f.refusedBy); n >= max(f.request.route.MaxAttempts, 1) {
 		// The request may go to no further target, but to those that refused it.
@@ -257,7 +262,7 @@
 		if reply.DependencyFailed {
 			result.Status = http.StatusOK
 		} else {
-			result.Class = q.route.Name
+			result.Class, result.OwnTime = q.route.Name, reply.OwnTime
 		}
 	}
 	if load := reply.Load; load != nil {
--- a/message/reply.go
+++ b/message/reply.go
@@ -1,6 +1,10 @@
 package message
 
-import "github.com/goldcrestsail/goldcrestsail/kind"
+import (
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/kind"
+)
 
 // Reply is the outcome of a Call.
 type Reply struct {
@@ -13,6 +17,9 @@
 	Visited []Visit
 	// Cutoffs are those of the services below the target.
 	Cutoffs []ServiceCutoff
+	// OwnTime is the time that the target took for the run, without its sub-calls;
+	// 0 means unknown.
+	OwnTime time.Duration
 	// DependencyFailed reports that a sub-call of the run was refused or failed,
 	// so that the target's own failure says nothing about the target.
 	DependencyFailed bool
--- a/peerlink/encode_reply.go
+++ b/peerlink/encode_reply.go
@@ -29,6 +29,7 @@
 	replyHasLoad
 	replyCutoff
 	replyDependencyFailed
+	replyOwnTime
 )
 
 // Field numbers of a service's cutoff and of a visit.
@@ -83,6 +84,7 @@
 		inner = appendNumber(inner, cutoffAge, uint64(max(0, c.Age.Milliseconds())))
 		b = appendMessage(b, replyCutoffs, inner)
 	}
+	b = appendNumber(b, replyOwnTime, uint64(max(0, r.OwnTime.Microseconds())))
 	return appendFlag(b, replyDependencyFailed, r.DependencyFailed)
 }
 
@@ -122,6 +124,8 @@
 			load.Cutoff = decodeCutoff(v)
 		case replyDependencyFailed:
 			r.DependencyFailed = v != 0
+		case replyOwnTime:
+			r.OwnTime = microseconds(v)
 		case replyServiceTime:
 			load.ServiceTime = microseconds(v)
 		case replyKind:
--- a/peerlink/peerlink_test.go
+++ b/peerlink/peerlink_test.go
@@ -82,6 +82,7 @@
 		r.Response = &message.Response{Status: rapid.IntRange(200, 599).Draw(t, "status"), FromTarget: true, Body: []byte{}, Header: header.Draw(t, "response header")}
 	}
 	r.Load = &message.Load{Running: 1, Waiting: rapid.Uint32().Draw(t, "waiting"), Limit: 3, Level: 4, Cutoff: 2.5, ServiceTime: time.Millisecond, ByImportance: []uint32{1, 0, 2}}
+	r.OwnTime = time.Duration(rapid.IntRange(0, 1e6).Draw(t, "own time")) * time.Microsecond
 	r.Visited = []message.Visit{{Service: text.Draw(t, "visited"), Runs: rapid.Uint32Range(0, 1000).Draw(t, "runs")}}
 	r.Cutoffs = []message.ServiceCutoff{{Service: "b", Cutoff: 0.25, Age: 5 * time.Millisecond}}
 	back, err := decodeReply(replies.pass(t, frame{kind: frameReply, id: 7, reply: r}, now), &replies.in)
--- a/routing/class_time.go
+++ b/routing/class_time.go
@@ -62,6 +62,28 @@
 	g.classTime(class).learn(now, latency.Seconds(), classWeight)
 }
 
+// learnOwnTime enters the time that a target took for a call itself, relative to
+// the mean of its class.
+func (t *Table) learnOwnTime(g *target, now time.Time, class string, own time.Duration) {
+	mean := t.ownTimes[class]
+	if mean == nil {
+		if len(t.ownTimes) >= maxClasses {
+			return
+		}
+		mean = &classTime{}
+		t.ownTimes[class] = mean
+	}
+	mean.learn(now, own.Seconds(), classWeight)
+	if !t.relative {
+		// What was learned before has another unit.
+		t.relative, t.meanLatency = true, 0
+		for _, other := range t.ranking {
+			other.latency = 0
+		}
+	}
+	t.learnLatency(g, now, time.Duration(own.Seconds()/mean.seconds*float64(time.Second)))
+}
+
 // learnUnanswered enters the time after which a call had no response.
 func (t *Table) learnUnanswered(g *target, now time.Time, class string, waited time.Duration) {
 	if t.classes[class] == nil || waited.Seconds() < t.expected(g, now, class) {
--- a/routing/class_time_test.go
+++ b/routing/class_time_test.go
@@ -139,3 +139,34 @@
 		require.NotEqual(t, TargetID("0"), id, "0.72 s until the queue is worked off and 0.09 s for the call")
 	}
 }
+
+// The pattern: calls of 15 ms and of 700 ms go to equal targets, and a target
+// reports the mean time of what it happened to get. Guards against the short
+// calls herding to one target, which then reports a short time and attracts
+// more, until they wait there behind one another.
+func TestMixOfCallsDoesNotMakeATargetLookFast(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 3))
+	now := time.Unix(0, 0)
+	table := NewTable(Options{Node: "n", MaxLatencyFactor: 16})
+	for i := range 4 {
+		table.Update(now, Member{ID: TargetID(fmt.Sprint(i)), State: Ready, Slots: 100})
+	}
+	calls := map[TargetID]int{}
+	for i := range 4000 {
+		now = now.Add(time.Millisecond)
+		id, err := table.Pick(rng, now, PickInput{})
+		require.NoError(t, err)
+		calls[id]++
+		// Target 0 has got short calls only so far, the others long ones as well.
+		class, own, mean := "short", 15*time.Millisecond, 15*time.Millisecond
+		if id != "0" {
+			mean = 300 * time.Millisecond
+			if i%2 == 0 {
+				class, own = "long", 700*time.Millisecond
+			}
+		}
+		table.Start(now, id)
+		table.Done(now, id, Result{Latency: own, OwnTime: own, Class: class, Load: &Load{InFlight: 50, Limit: 100, ServiceTime: mean}})
+	}
+	require.Less(t, calls["0"], 4000/4*5/4)
+}
--- a/routing/cost.go
+++ b/routing/cost.go
@@ -137,7 +137,7 @@
 
 func (t *Table) learnLoad(g *target, now time.Time, load Load) {
 	g.load, g.loadAt, g.ownAtLoad, g.ownByAtLoad = load, now, g.own, g.ownBy
-	if load.ServiceTime > 0 {
+	if load.ServiceTime > 0 && !t.relative {
 		// Reports come with every refusal as well, so their weight follows from
 		// time: many reports of one mean say no more than one.
 		weight := 1 - halved(1, now.Sub(g.latencyAt), serviceTimeHalfLife)
--- a/routing/result.go
+++ b/routing/result.go
@@ -15,6 +15,11 @@
 	// Class is that of the PickInput, if the latency says how fast the target is:
 	// that of a response, or the time after which there was none.
 	Class string
+	// OwnTime is the time that the target took for the call itself, without its
+	// queue and its sub-calls, or 0. Targets are then compared by the times of
+	// calls of the same class, and the service times of their loads, which depend
+	// on what they happened to get, are not.
+	OwnTime time.Duration
 	// Importance is that of the call, as given to StartClass.
 	Importance int
 	// Load is the load reported with the response, or nil when no response
--- a/routing/table.go
+++ b/routing/table.go
@@ -38,6 +38,10 @@
 	scratch []*target
 	// classes holds the mean response time by class of call, over all targets.
 	classes map[string]*classTime
+	// ownTimes holds the same of the targets' own times. relative reports that the
+	// latencies of targets are relative to it, 1 s standing for the mean.
+	ownTimes map[string]*classTime
+	relative bool
 	// fastLocal and fastRemote are the parts of the subset for the latest call.
 	fastLocal, fastRemote []*target
 }
@@ -45,7 +49,7 @@
 // NewTable returns an empty table.
 func NewTable(o Options) *Table {
 	o.applyDefaults()
-	return &Table{options: o, node: hashString(o.Node), byID: map[TargetID]*target{}, classes: map[string]*classTime{}, stale: true}
+	return &Table{options: o, node: hashString(o.Node), byID: map[TargetID]*target{}, classes: map[string]*classTime{}, ownTimes: map[string]*classTime{}, stale: true}
 }
 
 // Update adds a target or changes what the membership says about it.
@@ -129,7 +133,7 @@
 	if r.Kind == kind.DeadlineExpired {
 		t.learnUnanswered(g, now, r.Class, r.Latency)
 	}
-	if g.load.ServiceTime == 0 && (r.Kind == kind.DeadlineExpired && v == failure || r.Kind == kind.Canceled) {
+	if !t.relative && g.load.ServiceTime == 0 && (r.Kind == kind.DeadlineExpired && v == failure || r.Kind == kind.Canceled) {
 		// The response would have taken longer than this.
 		t.learnAtLeast(g, now, r.Latency)
 	}
@@ -143,7 +147,10 @@
 	case success:
 		g.failures = 0
 		t.learnClass(g, now, r.Class, r.Latency)
-		if r.Load == nil || r.Load.ServiceTime == 0 {
+		switch {
+		case r.Class != "" && r.OwnTime > 0:
+			t.learnOwnTime(g, now, r.Class, r.OwnTime)
+		case !t.relative && (r.Load == nil || r.Load.ServiceTime == 0):
 			t.learnLatency(g, now, r.Latency)
 		}
 		// A response to a call from before the ejection proves only that a
