--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -13,7 +13,6 @@
 type sent struct {
 	id, service, path string
 	entry             string
-	entryRun          int
 	unsafe            bool
 	at                time.Time
 	// left is when the client gave up, before an answer; zero if it did not.
--- a/internal/soak/trouble_test.go
+++ b/internal/soak/trouble_test.go
@@ -34,8 +34,6 @@
 	return least + time.Duration(j.rng.Float64()*float64(most-least))
 }
 
-func (j *injector) member() *member { return j.d.members[j.rng.IntN(len(j.d.members))] }
-
 // some returns a random part of the members, one at least.
 func (j *injector) some(most int) []*member {
 	members := make([]*member, 0, most)
