Guard the timer of a gate that is being made

New holds the lock now. TestGateThatIsNotUsedTicks fails under the race detector on the code before.

Ruled out: chance. The two are unordered whenever nothing else takes the lock within the first 50 ms; a busy machine only makes that likely.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -62,6 +62,9 @@
 	g.inForce = pressure.Open
 	g.started = map[admission.ID]time.Time{}
 	g.nextTick = now.Add(limit.TickInterval)
+	// The first tick may come before this function returns.
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.timer = time.AfterFunc(limit.TickInterval, g.tick)
 	return g
 }
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -54,3 +54,11 @@
 	}
 	t.Fatal("arrivals were not counted for 2 s")
 }
+
+// Guards against a first tick that runs while the gate is being made, as on a
+// busy machine (seen by the race detector).
+func TestGateThatIsNotUsedTicks(t *testing.T) {
+	g := New(time.Now())
+	time.Sleep(3 * limit.TickInterval)
+	g.Close()
+}
