Share the accept loop of both servers and the wait for a context

Cause: httpconn.Server and peerlink.Server had the same loop with the same delay, and claims, mesh and platform the same wait. They are internal/acceptloop and internal/ctxwait now; Serve returned an error that was always nil. No change of behaviour.

--- a/claims/fake_test.go
+++ b/claims/fake_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/goldcrestsail/goldcrestsail/idempotency"
+	"github.com/goldcrestsail/goldcrestsail/internal/ctxwait"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/logservice"
 	"github.com/goldcrestsail/goldcrestsail/policy"
@@ -117,7 +118,7 @@
 	p.mu.Lock()
 	g, delay := p.guards[owner], p.delay
 	p.mu.Unlock()
-	sleep(ctx, peerLatency+delay)
+	ctxwait.For(ctx, peerLatency+delay)
 	if g == nil || ctx.Err() != nil {
 		return idempotency.Outcome{}, errFake
 	}
--- a/claims/group_appender.go
+++ b/claims/group_appender.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/goldcrestsail/goldcrestsail/internal/ctxwait"
 	"github.com/goldcrestsail/goldcrestsail/logservice"
 )
 
@@ -80,7 +81,7 @@
 		a.mu.Lock()
 		pause := a.interval - time.Since(a.started)
 		a.mu.Unlock()
-		sleep(a.ctx, pause)
+		ctxwait.For(a.ctx, pause)
 		a.mu.Lock()
 		n := min(len(a.queue), MaxGroupRecords)
 		if n == 0 {
@@ -113,16 +114,3 @@
 	a.cancel()
 	a.done.Wait()
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/claims/guard.go
+++ b/claims/guard.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/goldcrestsail/goldcrestsail/idempotency"
+	"github.com/goldcrestsail/goldcrestsail/internal/ctxwait"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 )
 
@@ -109,7 +110,7 @@
 
 func (g *Guard) startAsk(e idempotency.Ask) {
 	g.spawn(func(ctx context.Context) {
-		sleep(ctx, e.After)
+		ctxwait.For(ctx, e.After)
 		// The owner answers within AskWait; the rest is for the network.
 		ctx, cancel := context.WithTimeout(ctx, g.options.AskWait+g.options.ClaimTimeout)
 		defer cancel()
--- a/claims/run.go
+++ b/claims/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/goldcrestsail/goldcrestsail/idempotency"
+	"github.com/goldcrestsail/goldcrestsail/internal/ctxwait"
 )
 
 const (
@@ -62,14 +63,14 @@
 		if ctx.Err() == nil {
 			g.options.Logger.Warn("claims stream not read", "service", g.options.Service.String(), "error", err)
 			g.step(idempotency.ReadFailed{})
-			sleep(ctx, g.options.Config.RetryPause)
+			ctxwait.For(ctx, g.options.Config.RetryPause)
 		}
 		return
 	}
 	g.step(idempotency.Records{Batch: batch, AtEnd: len(batch.Records) < readMaxRecords})
 	if wait > 0 && len(batch.Records) == 0 && time.Since(started) < readWait/2 {
 		// A log that does not wait must not be polled without a pause.
-		sleep(ctx, g.options.Config.RetryPause/10)
+		ctxwait.For(ctx, g.options.Config.RetryPause/10)
 	}
 }
 
--- a/httpconn/server.go
+++ b/httpconn/server.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/goldcrestsail/goldcrestsail/internal/acceptloop"
 	"github.com/goldcrestsail/goldcrestsail/message"
 	"github.com/goldcrestsail/goldcrestsail/routetable"
 )
@@ -36,27 +36,18 @@
 }
 
 // Serve accepts connections until Stop.
-func (s *Server) Serve(l net.Listener) error {
+func (s *Server) Serve(l net.Listener) {
 	s.mu.Lock()
 	s.listener = l
 	s.conns = map[*serverConn]struct{}{}
 	s.mu.Unlock()
-	for {
-		nc, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			// Descriptors may be used up for the moment.
-			time.Sleep(acceptRetryDelay)
-			continue
-		}
+	acceptloop.Run(l, func(nc net.Conn) {
 		c := newServerConn(s, nc)
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
 		go c.run()
-	}
+	})
 }
 
 // Drain makes every response from now on the last one of its connection.
--- a/httpconn/server_conn.go
+++ b/httpconn/server_conn.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// acceptRetryDelay keeps a persistent accept error from taking a whole core.
-	acceptRetryDelay = 10 * time.Millisecond
 	// maxPipelined bounds the requests of one connection in progress. Clients
 	// that pipeline send a handful.
 	maxPipelined = 32
--- /dev/null
+++ b/internal/ctxwait/ctxwait.go
@@ -0,0 +1,19 @@
+// Package ctxwait waits for a time or for the end of a context.
+package ctxwait
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d, and reports false if ctx ends before.
+func For(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/mesh/recovery.go
+++ b/mesh/recovery.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/goldcrestsail/goldcrestsail/internal/ctxwait"
 	"github.com/goldcrestsail/goldcrestsail/membership"
 )
 
@@ -46,12 +47,12 @@
 		if seeds, err = n.restore(ctx); err == nil {
 			break
 		}
-		pauseFor(ctx, delay/2+rand.N(delay))
+		ctxwait.For(ctx, delay/2+rand.N(delay))
 	}
 	settle.Stop()
 	n.settleDepartures()
 	for range int(secondLook / rejoinInterval) {
-		pauseFor(ctx, rejoinInterval)
+		ctxwait.For(ctx, rejoinInterval)
 		n.gossip.AddSeeds(seeds)
 	}
 	if records, err := n.config.Records.List(ctx); err != nil {
@@ -126,7 +127,7 @@
 // present node with the smallest ID does so.
 func (n *Node) cleanRecords(ctx context.Context) {
 	var absent map[string]bool
-	for pauseFor(ctx, cleanInterval) {
+	for ctxwait.For(ctx, cleanInterval) {
 		members := n.gossip.Members()
 		if !smallest(n.gossip.Self(), members) {
 			absent = nil
@@ -177,13 +178,3 @@
 	}
 	return gone, absent
 }
-
-// pauseFor waits, and reports false if ctx has ended.
-func pauseFor(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/peerlink/server.go
+++ b/peerlink/server.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/goldcrestsail/goldcrestsail/internal/acceptloop"
 	"github.com/goldcrestsail/goldcrestsail/message"
 )
 
-// acceptRetryDelay keeps a persistent accept error from taking a whole core.
-const acceptRetryDelay = 10 * time.Millisecond
-
 // Server answers the calls of other nodes.
 type Server struct {
 	// Handle runs one call. The context ends when the caller cancels the call or
@@ -27,25 +24,17 @@
 }
 
 // Serve accepts connections until Stop.
-func (s *Server) Serve(l net.Listener) error {
+func (s *Server) Serve(l net.Listener) {
 	s.mu.Lock()
 	s.listener, s.conns = l, map[*conn]struct{}{}
 	s.mu.Unlock()
-	for {
-		nc, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			time.Sleep(acceptRetryDelay)
-			continue
-		}
+	acceptloop.Run(l, func(nc net.Conn) {
 		c := newConn(nc)
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
 		go s.serve(c)
-	}
+	})
 }
 
 // Stop closes the listener and all connections.
