Log a suspected peer once, and when it is not suspected any more

Cause: the line came every 50 ms while a peer did not answer, up to the bound of 100 a second, and nothing said when it was over. A line is written for each change of what the node believes.

--- a/mesh/members.go
+++ b/mesh/members.go
@@ -78,10 +78,20 @@
 // checkPeers keeps calls from peers that do not answer, before the membership
 // knows that they are gone.
 func (n *Node) checkPeers(now time.Time) {
+	suspects := map[string]bool{}
 	for _, address := range n.peers.Check(now) {
+		suspects[address] = true
 		n.directory.Suspend(now, address, now.Add(suspendTime))
-		n.event("peer suspected", "peer", address)
+		if !n.suspects[address] {
+			n.log.Warn("peer suspected", "peer", address)
+		}
+	}
+	for address := range n.suspects {
+		if !suspects[address] {
+			n.log.Info("peer no longer suspected", "peer", address)
+		}
 	}
+	n.suspects = suspects
 }
 
 // targetState maps the state of the target to what the members are told.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -87,6 +87,9 @@
 	// loadLogged is when the load of the target was last logged, budgetsLogged the
 	// same for the retry budgets.
 	loadLogged, budgetsLogged time.Time
+	// suspects holds the addresses of the peers that do not answer probes; it
+	// belongs to tick.
+	suspects map[string]bool
 	// storeInTouch reports that the last call to the store was answered.
 	storeInTouch atomic.Bool
 	// saving is held while the node's record is replaced.
