Look at a target's load once per pick; compute the supply when it is due

Cause: choosing a target looked at the load of each candidate twice, with two exponentials each, and every reply computed the supply of repeats, which is used ten times a second. budgets.state and stateOf share what they did twice. Two comments said what the code does not: a departure without a start time covers its own start only, and a target's latency in the dump is relative. No change of behaviour; the tests are those of before.

--- a/mesh/budgets.go
+++ b/mesh/budgets.go
@@ -126,7 +126,7 @@
 	defer b.mu.Unlock()
 	s := b.ofLocked(now, service)
 	s.repeats.Answered(importance, first, refused)
-	s.repeats.Tick(now, s.supply(now, b.parts(s.sum())))
+	s.repeats.Tick(now, func() float64 { return s.supply(now, b.parts(s.sum())) })
 }
 
 // chosen reports whether a refused call of a chain at a position is sent again,
@@ -137,20 +137,11 @@
 	return b.ofLocked(now, service).repeats.Cutoff().Admits(position)
 }
 
-// budgetState is what is left of the budget of a service.
-type budgetState struct {
-	// Tokens is the number of repeats that could be sent at once.
-	Tokens float64 `json:"tokens"`
-	// Cutoff is the position of chains up to which refused calls are repeated.
-	Cutoff float64 `json:"cutoff"`
-}
-
 // stateOf returns what is left of the budget of one service.
 func (b *budgets) stateOf(now time.Time, service string) budgetState {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.ofLocked(now, service)
-	return budgetState{s.Tokens(now), float64(s.repeats.Cutoff())}
+	return b.ofLocked(now, service).state(now)
 }
 
 // state returns what is left of the budget of each service in use.
@@ -159,7 +150,7 @@
 	defer b.mu.Unlock()
 	all := make(map[string]budgetState, len(b.services))
 	for service, s := range b.services {
-		all[service] = budgetState{s.Tokens(now), float64(s.repeats.Cutoff())}
+		all[service] = s.state(now)
 	}
 	return all
 }
--- a/mesh/service_budget.go
+++ b/mesh/service_budget.go
@@ -38,3 +38,15 @@
 	earned := part.Ratio*s.recent[savedIntervals-1]/rateInterval.Seconds() + part.MinRatePerSecond
 	return earned + s.Tokens(now)/spendTime.Seconds()
 }
+
+// budgetState is what is left of the budget of a service.
+type budgetState struct {
+	// Tokens is the number of repeats that could be sent at once.
+	Tokens float64 `json:"tokens"`
+	// Cutoff is the position of chains up to which refused calls are repeated.
+	Cutoff float64 `json:"cutoff"`
+}
+
+func (s *serviceBudget) state(now time.Time) budgetState {
+	return budgetState{s.Tokens(now), float64(s.repeats.Cutoff())}
+}
--- a/pressure/repeats.go
+++ b/pressure/repeats.go
@@ -45,9 +45,9 @@
 	}
 }
 
-// Tick ends the interval if it is over. supply is the number of repeats per
+// Tick ends the interval if it is over. supply returns the number of repeats per
 // second that the budget allows.
-func (r *Repeats) Tick(now time.Time, supply float64) {
+func (r *Repeats) Tick(now time.Time, supply func() float64) {
 	elapsed := now.Sub(r.began)
 	if elapsed < Interval {
 		return
@@ -58,7 +58,7 @@
 	if r.attempts > 0 {
 		r.share += arrivalWeight * (r.refusals/r.attempts - r.share)
 	}
-	r.cutoff = r.fit(supply)
+	r.cutoff = r.fit(supply())
 	r.began, r.attempts, r.refusals, r.refused = now, 0, 0, [Importances]float64{}
 }
 
--- a/pressure/repeats_test.go
+++ b/pressure/repeats_test.go
@@ -75,7 +75,7 @@
 		}
 		now = now.Add(Interval)
 		earned := s.ratio * perInterval * (8 + 4) / Interval.Seconds()
-		s.repeats.Tick(now, earned+s.tokens/5)
+		s.repeats.Tick(now, func() float64 { return earned + s.tokens/5 })
 	}
 	return served[0] / float64(intervals*perInterval), served[1] / float64(intervals*perInterval)
 }
--- a/registration/tracker.go
+++ b/registration/tracker.go
@@ -81,8 +81,7 @@
 	}
 }
 
-// departed reports whether the start that made r has announced its end. A
-// departure without a start time covers all starts under the ID up to then.
+// departed reports whether the start that made r has announced its end.
 func (t *Tracker) departed(r Report) bool {
 	for _, d := range t.departures {
 		if d.TargetID == r.TargetID && d.Born == r.Born {
--- a/routing/class_time.go
+++ b/routing/class_time.go
@@ -116,14 +116,6 @@
 	return mean.seconds + halved(own.seconds-mean.seconds, now.Sub(own.at), classHalfLife)
 }
 
-// delay returns the time, in seconds, after which a call would end at a target
-// with a queue: the work that goes first, and then its own. It is 0 if the
-// target has not reported how long a call takes it.
-func (t *Table) delay(g *target, now time.Time, importance int) float64 {
-	_, first := t.loadOf(g, now, importance)
-	return (max(first-1, 0) + 1) * g.load.ServiceTime.Seconds()
-}
-
 // fastEnough returns the targets of the subset that are likely to respond in
 // time. Those that would not respond at all within the time left are avoided as
 // long as there is another one, and those that often would not while faster ones
@@ -150,10 +142,16 @@
 	bound := in.Left.Seconds() * share
 	keep := func(from, to []*target) []*target {
 		for _, g := range from {
-			if t.expected(g, now, in.Class) <= bound && t.delay(g, now, in.Importance) <= bound && !in.excludes(g) {
-				to = append(to, g)
-				spare = spare || t.utilization(g, now, in.Importance) < spareUtilization
+			if t.expected(g, now, in.Class) > bound || in.excludes(g) {
+				continue
+			}
+			all, first := t.loadOf(g, now, in.Importance)
+			// The queue that goes first, and then the call itself.
+			if (max(first-1, 0)+1)*g.load.ServiceTime.Seconds() > bound {
+				continue
 			}
+			to = append(to, g)
+			spare = spare || utilizationOf(all, first) < spareUtilization
 		}
 		return to
 	}
--- a/routing/cost.go
+++ b/routing/cost.go
@@ -52,10 +52,11 @@
 // the work that goes first. Otherwise a long queue of less important calls
 // would hide which targets have room for important ones.
 func (t *Table) utilization(g *target, now time.Time, importance int) float64 {
-	all, first := t.loadOf(g, now, importance)
-	return (min(all, 1) + min(first, all)) / 2
+	return utilizationOf(t.loadOf(g, now, importance))
 }
 
+func utilizationOf(all, first float64) float64 { return (min(all, 1) + min(first, all)) / 2 }
+
 // loadOf returns the work at a target over its limit: all of it, and the part
 // that is at least as important as a call.
 func (t *Table) loadOf(g *target, now time.Time, importance int) (all, first float64) {
--- a/routing/target_status.go
+++ b/routing/target_status.go
@@ -12,7 +12,8 @@
 	// Load is the last reported load, LoadAge its age.
 	Load    Load
 	LoadAge time.Duration
-	// Latency is the moving average of the response time.
+	// Latency is the moving average of the response time. Where targets are
+	// compared by their own times, 1 s stands for the mean of all targets.
 	Latency time.Duration
 	// Cost is the value that Pick compares; lower is better.
 	Cost float64
