Bound the memory of heads and bodies, also of those without end

Cause: a response head was read without a bound, and a body up to 64 MiB for each of the target's slots. Frames of peers were allocated by the length that the peer announced. What is no response counts against its target and is repeated elsewhere if the request may be; a caller without room gets 503, not run. The server now lingers after its last response, as its comment said.

--- a/httpconn/read_request.go
+++ b/httpconn/read_request.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/goldcrestsail/goldcrestsail/internal/bytebudget"
 	"github.com/goldcrestsail/goldcrestsail/message"
 )
 
@@ -39,15 +40,9 @@
 			return nil, 0, err
 		}
 	}
-	var body []byte
-	if r.Body != nil && r.Body != http.NoBody {
-		body, err = io.ReadAll(io.LimitReader(r.Body, int64(maxBody)+1))
-		if len(body) > maxBody {
-			return nil, http.StatusRequestEntityTooLarge, errTooLarge
-		}
-		if err != nil {
-			return nil, 0, err
-		}
+	body, memory, status, err := c.readBody(r, maxBody)
+	if err != nil {
+		return nil, status, err
 	}
 	now := time.Now()
 	names := &c.server.Names
@@ -65,7 +60,7 @@
 	}
 	return &parsedRequest{
 		message: &message.Request{
-			ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: body, Arrived: now, Deadline: now.Add(timeout),
+			ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: body, BodyMemory: memory, Arrived: now, Deadline: now.Add(timeout),
 			Header:   endToEndFields(r.Header, names.RequestID, names.TimeoutMS, names.CallerService, names.ExpectedTarget),
 			ParentID: parent,
 		},
@@ -74,5 +69,21 @@
 	}, 0, nil
 }
 
+// readBody reads the body of a request. With an error it returns the status of the
+// response, or 0 if the connection ended.
+func (c *serverConn) readBody(r *http.Request, maxBody int) ([]byte, *bytebudget.Reservation, int, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil, 0, nil
+	}
+	body, memory, err := bytebudget.ReadBody(r.Body, r.ContentLength, maxBody, c.server.BodyMemory)
+	switch {
+	case errors.Is(err, bytebudget.ErrTooLarge):
+		return nil, nil, http.StatusRequestEntityTooLarge, err
+	case errors.Is(err, bytebudget.ErrExhausted):
+		return nil, nil, http.StatusServiceUnavailable, err
+	}
+	return body, memory, 0, err
+}
+
 // maxTimeoutMS is the largest timeout that a request may state, one day.
 const maxTimeoutMS = 24 * 3600 * 1000
--- a/httpconn/server.go
+++ b/httpconn/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/goldcrestsail/goldcrestsail/internal/acceptloop"
+	"github.com/goldcrestsail/goldcrestsail/internal/bytebudget"
 	"github.com/goldcrestsail/goldcrestsail/message"
 	"github.com/goldcrestsail/goldcrestsail/routetable"
 )
@@ -24,6 +25,8 @@
 	ParentOf func(id string) string
 	// Limits returns the limits in force.
 	Limits func() routetable.Limits
+	// BodyMemory bounds the bodies of all requests together; nil means unlimited.
+	BodyMemory *bytebudget.Budget
 	// DefaultTimeout applies to requests that state no timeout.
 	DefaultTimeout time.Duration
 	// OnMalformed is called for each request that was rejected as malformed.
--- a/httpconn/server_conn.go
+++ b/httpconn/server_conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,9 @@
 	// sending side, so that bytes in transit do not reset the connection before
 	// the caller has read the last response.
 	lingerTimeout = 500 * time.Millisecond
+	// bodyMemoryRetryAfter is when a caller may repeat a request for whose body
+	// there was no memory.
+	bodyMemoryRetryAfter = 500 * time.Millisecond
 )
 
 var errTooLarge = errors.New("message exceeds the size limit")
@@ -67,14 +71,15 @@
 	}()
 	ended := c.readRequests()
 	close(c.queue)
+	callerClosed := make(chan struct{})
 	if !ended {
 		// The caller may disconnect while the last request is in progress.
-		go c.watchForClose()
+		go c.watchForClose(callerClosed)
 	}
 	<-written
 	c.cancel()
 	if !ended {
-		c.linger()
+		c.linger(callerClosed)
 	}
 	_ = c.nc.Close()
 	c.server.removeConn(c)
@@ -103,7 +108,11 @@
 				c.server.OnMalformed(c.nc.RemoteAddr().String(), err)
 			}
 			x.response, x.closeAfter = &message.Response{Status: status}, true
+			if status == http.StatusServiceUnavailable {
+				x.response.RetryAfter = bodyMemoryRetryAfter
+			}
 			close(x.done)
+			c.inFlight.Add(1)
 			c.queue <- x
 			return false
 		}
@@ -114,6 +123,7 @@
 		c.queue <- x
 		go func() {
 			x.response = c.server.Handle(c.ctx, request.message)
+			request.message.BodyMemory.Release()
 			close(x.done)
 		}()
 		if x.closeAfter {
@@ -145,8 +155,9 @@
 }
 
 // watchForClose cancels the context when the caller closes the connection while its
-// last request is in progress.
-func (c *serverConn) watchForClose() {
+// last request is in progress, and then closes callerClosed.
+func (c *serverConn) watchForClose(callerClosed chan<- struct{}) {
+	defer close(callerClosed)
 	_ = c.nc.SetReadDeadline(time.Time{})
 	buffer := make([]byte, 512)
 	for {
@@ -157,14 +168,14 @@
 	}
 }
 
-// linger closes the sending side, then waits for the context to end, but no longer
-// than lingerTimeout.
-func (c *serverConn) linger() {
+// linger closes the sending side, then waits until the caller has closed its own,
+// but no longer than lingerTimeout.
+func (c *serverConn) linger(callerClosed <-chan struct{}) {
 	if tcp, ok := c.nc.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
 	select {
-	case <-c.ctx.Done():
+	case <-callerClosed:
 	case <-time.After(lingerTimeout):
 	}
 }
@@ -186,7 +197,11 @@
 	for x := range c.queue {
 		<-x.done
 		c.inFlight.Add(-1)
-		if failed || x.response == nil {
+		if x.response == nil {
+			continue
+		}
+		if failed {
+			x.response.BodyMemory.Release()
 			continue
 		}
 		head = appendResponse(head[:0], &c.server.Names, x)
@@ -198,6 +213,7 @@
 			c.cancel()
 			_ = c.nc.Close()
 		}
+		x.response.BodyMemory.Release()
 	}
 }
 
--- a/httpconn/server_test.go
+++ b/httpconn/server_test.go
@@ -8,11 +8,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/goldcrestsail/goldcrestsail/internal/bytebudget"
 	"github.com/goldcrestsail/goldcrestsail/message"
 	"github.com/goldcrestsail/goldcrestsail/routetable"
 )
@@ -100,6 +102,8 @@
 	require.True(t, r.Close)
 	_, err = br.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
+	c.Close()
+	require.Eventually(t, func() bool { return s.Connections() == 0 }, testTimeout, time.Millisecond)
 
 	idle := dial()
 	require.Eventually(t, func() bool { return s.Connections() > 0 }, testTimeout, time.Millisecond)
@@ -132,3 +136,32 @@
 		require.True(t, r.Close, name)
 	}
 }
+
+// Guards against callers whose bodies together take the memory of the node. One
+// that finds none left is told that its request has not run, and reads that answer
+// although the node has not read the body.
+func TestRequestBodiesShareMemory(t *testing.T) {
+	var handled atomic.Int32
+	server, dial := startServer(t, routetable.Limits{}, func(ctx context.Context, r *message.Request) *message.Response {
+		handled.Add(1)
+		return echo(ctx, r)
+	})
+	server.BodyMemory = bytebudget.New(1 << 20)
+	for _, bodyBytes := range []int{8 << 20, 128 << 10} {
+		c := dial()
+		go func() {
+			fmt.Fprintf(c, "POST /a HTTP/1.1\r\nHost: h\r\nX-Id: a\r\nContent-Length: %d\r\n\r\n", bodyBytes)
+			c.Write(make([]byte, bodyBytes))
+		}()
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		if bodyBytes > 1<<20 {
+			require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
+			require.NotEmpty(t, r.Header.Get("Retry-After"))
+			require.Zero(t, handled.Load())
+		} else {
+			require.Equal(t, http.StatusOK, r.StatusCode)
+		}
+		require.Eventually(t, func() bool { return server.BodyMemory.Used() == 0 }, testTimeout, time.Millisecond)
+	}
+}
--- a/httpconn/target.go
+++ b/httpconn/target.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/goldcrestsail/goldcrestsail/internal/bytebudget"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/message"
 )
@@ -98,6 +99,12 @@
 	case ctx.Err() != nil:
 		return kind.New(kind.Canceled, "the caller disconnected while the target was processing the request")
 	}
+	switch {
+	case errors.Is(err, errHeadTooLarge), errors.Is(err, errTooManyInterimResponses), errors.Is(err, errBodyWithoutEnd):
+		return kind.Newf(kind.AnswerMismatched, "what the target sent is no response: %v", err)
+	case errors.Is(err, bytebudget.ErrTooLarge), errors.Is(err, bytebudget.ErrExhausted):
+		return kind.Newf(kind.AnswerTooLarge, "response of the target: %v", err).WithRun(kind.MayHaveRun)
+	}
 	return kind.Newf(kind.AnswerTruncated, "the connection to the target ended before its response was complete: %v", err)
 }
 
@@ -192,7 +199,7 @@
 	h := p.response.Header
 	r := &TargetResponse{
 		Response: message.Response{
-			Status: p.response.StatusCode, Body: p.body, FromTarget: true,
+			Status: p.response.StatusCode, Body: p.body, BodyMemory: p.bodyMemory, FromTarget: true,
 			Header: endToEndFields(h, names.RequestID, names.TargetLoad, names.TargetID),
 		},
 		NotRun:      h.Get(names.NotRun) != "",
@@ -200,6 +207,7 @@
 		Load:        parseTargetLoad(h.Get(names.TargetLoad)),
 	}
 	if !r.NotRun && !r.Misdirected && h.Get(names.Seal) == "" {
+		p.bodyMemory.Release()
 		return nil, kind.Newf(kind.AnswerMismatched, "response with status %d has no seal of a target", r.Status)
 	}
 	return r, nil
--- a/httpconn/target_config.go
+++ b/httpconn/target_config.go
@@ -1,6 +1,10 @@
 package httpconn
 
-import "time"
+import (
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/internal/bytebudget"
+)
 
 const (
 	// keepAliveMargin is subtracted from the keep-alive time that a target states:
@@ -12,6 +16,8 @@
 	DefaultDialTimeout = 500 * time.Millisecond
 	// DefaultMaxBodyBytes bounds the body of a response.
 	DefaultMaxBodyBytes = 64 << 20
+	// DefaultMaxHeadBytes bounds the status line and header fields of a response.
+	DefaultMaxHeadBytes = 32 << 10
 )
 
 // TargetConfig configures a Target. Zero durations and sizes select the defaults.
@@ -23,11 +29,17 @@
 	IdleTimeout  time.Duration
 	DialTimeout  time.Duration
 	MaxBodyBytes int
+	// MaxHeadBytes bounds the status line and header fields of a response. The
+	// client reads up to 4 KiB more before it notices.
+	MaxHeadBytes int
+	// BodyMemory bounds the bodies of all responses together; nil means unlimited.
+	BodyMemory *bytebudget.Budget
 }
 
 func (c TargetConfig) withDefaults() TargetConfig {
 	c.IdleTimeout = orDefault(c.IdleTimeout, DefaultIdleTimeout)
 	c.DialTimeout = orDefault(c.DialTimeout, DefaultDialTimeout)
+	c.MaxHeadBytes = orDefault(c.MaxHeadBytes, DefaultMaxHeadBytes)
 	c.MaxBodyBytes = orDefault(c.MaxBodyBytes, DefaultMaxBodyBytes)
 	return c
 }
--- a/httpconn/target_conn.go
+++ b/httpconn/target_conn.go
@@ -4,24 +4,34 @@
 	"bufio"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/internal/bytebudget"
 )
 
-// maxExtraResponses is how many responses to other requests are skipped on a
-// connection before it is closed.
-const maxExtraResponses = 4
+const (
+	// maxExtraResponses is how many responses to other requests are skipped on a
+	// connection before it is closed.
+	maxExtraResponses = 4
+	// maxInterimResponses is how many responses with a status below 200 may precede
+	// the final one.
+	maxInterimResponses = 8
+)
 
 // targetConn is a connection to a target. A goroutine reads from it at all times to
 // detect a close or unexpected bytes between requests.
 type targetConn struct {
-	nc  net.Conn
-	br  *bufio.Reader
-	cfg *TargetConfig
+	nc net.Conn
+	// limitedReader bounds what is read for the head of a response.
+	limitedReader *io.LimitedReader
+	br            *bufio.Reader
+	cfg           *TargetConfig
 
 	mu sync.Mutex
 	// current is the request in progress, nil when the connection is idle.
@@ -39,16 +49,24 @@
 	method   string
 	response *http.Response
 	body     []byte
+	// bodyMemory is the memory that body takes up.
+	bodyMemory *bytebudget.Reservation
 	// reusable reports that the connection can carry another request.
 	reusable bool
 	err      error
 	done     chan struct{}
 }
 
-var errUnexpectedBytes = errors.New("the target sent bytes that match no request")
+var (
+	errUnexpectedBytes         = errors.New("the target sent bytes that match no request")
+	errHeadTooLarge            = errors.New("the head of the response exceeds the size limit")
+	errBodyWithoutEnd          = errors.New("the body has no announced length and no end within the limits")
+	errTooManyInterimResponses = errors.New("the target sends interim responses without end")
+)
 
 func newTargetConn(nc net.Conn, cfg *TargetConfig) *targetConn {
-	c := &targetConn{nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes), cfg: cfg}
+	limited := &io.LimitedReader{R: nc, N: math.MaxInt64}
+	c := &targetConn{nc: nc, limitedReader: limited, br: bufio.NewReaderSize(limited, readBufferBytes), cfg: cfg}
 	go c.readResponses()
 	return c
 }
@@ -78,36 +96,52 @@
 			c.closeWithError(errUnexpectedBytes)
 			return
 		}
-		response, err := http.ReadResponse(c.br, &http.Request{Method: p.method})
-		if err != nil {
-			c.closeWithError(err)
-			return
-		}
-		if response.StatusCode < 200 {
-			continue
-		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, int64(c.cfg.MaxBodyBytes)+1))
-		if err == nil && len(body) > c.cfg.MaxBodyBytes {
-			err = errTooLarge
-		}
+		response, body, memory, err := c.readResponse(p.method)
 		if err != nil {
 			c.closeWithError(err)
 			return
 		}
 		if id := response.Header.Get(c.cfg.Names.RequestID); id != p.id {
 			// A late or repeated response to an earlier request.
+			memory.Release()
 			if extra++; extra > maxExtraResponses || response.Close {
 				c.closeWithError(errUnexpectedBytes)
 				return
 			}
 			continue
 		}
+		p.bodyMemory = memory
 		if !c.deliver(p, response, body, extra == 0) {
 			return
 		}
 	}
 }
 
+// readResponse reads one final response and the interim ones before it.
+func (c *targetConn) readResponse(method string) (*http.Response, []byte, *bytebudget.Reservation, error) {
+	for range maxInterimResponses + 1 {
+		c.limitedReader.N = int64(c.cfg.MaxHeadBytes)
+		response, err := http.ReadResponse(c.br, &http.Request{Method: method})
+		if c.limitedReader.N <= 0 {
+			return nil, nil, nil, errHeadTooLarge
+		}
+		c.limitedReader.N = math.MaxInt64
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		body, memory, err := bytebudget.ReadBody(response.Body, response.ContentLength, c.cfg.MaxBodyBytes, c.cfg.BodyMemory)
+		overLimit := errors.Is(err, bytebudget.ErrTooLarge) || errors.Is(err, bytebudget.ErrExhausted)
+		if overLimit && response.ContentLength < 0 {
+			err = errBodyWithoutEnd
+		}
+		return response, body, memory, err
+	}
+	return nil, nil, nil, errTooManyInterimResponses
+}
+
 func (c *targetConn) currentRequest() *pendingRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/mesh/config.go
+++ b/mesh/config.go
@@ -34,6 +34,9 @@
 	GracePeriod time.Duration
 	// Budget bounds the retries of all nodes together.
 	Budget RetryBudgetConfig
+	// BodyMemoryBytes bounds the bodies of all requests and responses that the
+	// process holds; 0 selects defaultBodyMemoryBytes.
+	BodyMemoryBytes int64
 	// Seeds are gossip addresses to join through, in addition to those in
 	// Records.
 	Seeds []string
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -17,6 +18,7 @@
 	"github.com/goldcrestsail/goldcrestsail/gate"
 	"github.com/goldcrestsail/goldcrestsail/gossip"
 	"github.com/goldcrestsail/goldcrestsail/httpconn"
+	"github.com/goldcrestsail/goldcrestsail/internal/bytebudget"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/membership"
 	"github.com/goldcrestsail/goldcrestsail/nodelog"
@@ -42,6 +44,8 @@
 	loadLogInterval = 500 * time.Millisecond
 	// defaultTimeout applies to requests without a deadline.
 	defaultTimeout = 30 * time.Second
+	// defaultBodyMemoryBytes suits instances of 128 MB or more.
+	defaultBodyMemoryBytes = 16 << 20
 	// tickInterval is the interval of the periodic tasks.
 	tickInterval = peerlink.CheckInterval
 )
@@ -112,13 +116,14 @@
 	if config.Logger == nil {
 		config.Logger = hclog.NewNullLogger()
 	}
+	bodyMemory := bytebudget.New(cmp.Or(config.BodyMemoryBytes, defaultBodyMemoryBytes))
 	n := &Node{
 		config: config, id: uuid.New(), log: config.Logger,
 		configuration: newConfiguration(), target: newTarget(config.ReportInterval), gate: gate.New(time.Now()),
 		gossipStarted: make(chan struct{}), lineLimiter: nodelog.NewLimiter(requestLinesPerSecond),
-		inFlight: newInFlight(), peers: peerlink.NewPool(), budgets: newBudgets(config.Budget),
+		inFlight: newInFlight(), peers: peerlink.NewPool(bodyMemory), budgets: newBudgets(config.Budget),
 	}
-	n.client = httpconn.NewTarget(httpconn.TargetConfig{Names: config.Headers, Address: config.TargetAddress})
+	n.client = httpconn.NewTarget(httpconn.TargetConfig{Names: config.Headers, Address: config.TargetAddress, BodyMemory: bodyMemory})
 	n.directory = directory.New(routing.Options{
 		Node: n.id.String(), DomainFactor: domainFactor, FullUtilization: fullUtilization, SaturatedFactor: saturatedFactor, MaxLatencyFactor: maxLatencyFactor,
 	}, config.FailureDomain, rand.New(rand.NewPCG(seed, 1)))
@@ -127,13 +132,13 @@
 	n.service.Store(&config.Service)
 	n.grace.Store(int64(config.GracePeriod))
 	n.callers = &httpconn.Server{
-		Names: config.Headers, Handle: n.serveRequest, Limits: n.requestLimits, DefaultTimeout: defaultTimeout, ParentOf: config.ParentOf,
+		Names: config.Headers, Handle: n.serveRequest, Limits: n.requestLimits, DefaultTimeout: defaultTimeout, ParentOf: config.ParentOf, BodyMemory: bodyMemory,
 		OnMalformed: func(remote string, err error) {
 			n.metrics.malformed.Inc()
 			n.log.Warn("request rejected as malformed", "remote", remote, "error", err)
 		},
 	}
-	n.peerServer = &peerlink.Server{Handle: n.servePeer, Config: n.configuration.encodedConfig}
+	n.peerServer = &peerlink.Server{Handle: n.servePeer, Config: n.configuration.encodedConfig, BodyMemory: bodyMemory}
 	n.metrics = newNodeMetrics(n)
 	return n
 }
--- a/message/request.go
+++ b/message/request.go
@@ -1,6 +1,10 @@
 package message
 
-import "time"
+import (
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/internal/bytebudget"
+)
 
 // Request is a request that was received completely.
 type Request struct {
@@ -13,6 +17,9 @@
 	// Request.
 	Header []Field
 	Body   []byte
+	// BodyMemory is the memory that Body takes up in the process's budget. The
+	// server that received the request releases it after its response.
+	BodyMemory *bytebudget.Reservation
 	// Arrived is when the request was received completely, Deadline when its
 	// caller stops waiting.
 	Arrived, Deadline time.Time
--- a/peerlink/client.go
+++ b/peerlink/client.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/goldcrestsail/goldcrestsail/internal/bytebudget"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/message"
 )
@@ -35,7 +36,8 @@
 
 // Client sends calls to one peer. It is safe for concurrent use.
 type Client struct {
-	address string
+	address    string
+	bodyMemory *bytebudget.Budget
 
 	mu      sync.Mutex
 	session *session
@@ -48,6 +50,7 @@
 // session is one connection to the peer with its pending calls.
 type session struct {
 	*conn
+	bodyMemory   *bytebudget.Budget
 	mu           sync.Mutex
 	nextID       uint64
 	pending      map[uint64]pendingCall
@@ -64,8 +67,11 @@
 	reroutable bool
 }
 
-// NewClient returns a client that connects on the first call.
-func NewClient(address string) *Client { return &Client{address: address} }
+// NewClient returns a client that connects on the first call. bodyMemory bounds the
+// bodies of the replies together with what else it counts; nil means unlimited.
+func NewClient(address string, bodyMemory *bytebudget.Budget) *Client {
+	return &Client{address: address, bodyMemory: bodyMemory}
+}
 
 // Call sends a call and waits for the reply. A failure before the call is sent has
 // run state not-run. When ctx ends, the call is canceled at the peer.
@@ -153,7 +159,7 @@
 	c.dialDone = nil
 	c.dialErr, c.lastDialAt = err, time.Now()
 	if err == nil {
-		s := &session{conn: newConn(nc), pending: map[uint64]pendingCall{}, lastReceived: time.Now()}
+		s := &session{conn: newConn(nc), pending: map[uint64]pendingCall{}, lastReceived: time.Now(), bodyMemory: c.bodyMemory}
 		c.session = s
 		go s.readLoop()
 	}
@@ -212,9 +218,12 @@
 
 func (s *session) readLoop() {
 	for {
-		f, err := readFrame(s.reader)
+		f, err := readFrame(s.reader, s.bodyMemory)
 		if err == nil && f.kind == frameReply {
 			f.reply, err = decodeReply(f, &s.received)
+			if err == nil && f.reply.Response != nil {
+				f.reply.Response.BodyMemory = f.memory
+			}
 		}
 		if err != nil {
 			s.fail(err)
--- a/peerlink/conn.go
+++ b/peerlink/conn.go
@@ -70,6 +70,7 @@
 					c.close()
 					return
 				}
+				f.memory.Release()
 				select {
 				case f = <-c.outgoing:
 				default:
--- a/peerlink/frame.go
+++ b/peerlink/frame.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"github.com/goldcrestsail/goldcrestsail/internal/bytebudget"
 	"github.com/goldcrestsail/goldcrestsail/message"
 )
 
@@ -41,11 +42,15 @@
 	payload []byte
 	// body follows the payload. It is written without being copied.
 	body []byte
+	// memory is the memory that body takes up in the process's budget.
+	memory *bytebudget.Reservation
 }
 
 var errMalformedFrame = errors.New("malformed peer message")
 
-func readFrame(r io.Reader) (frame, error) {
+// readFrame reads one frame. Memory is allocated as the bytes arrive, not by the
+// length that the peer announces.
+func readFrame(r io.Reader, budget *bytebudget.Budget) (frame, error) {
 	var length [lengthPrefixBytes]byte
 	if _, err := io.ReadFull(r, length[:]); err != nil {
 		return frame{}, err
@@ -54,10 +59,14 @@
 	if n < 1 || n > maxFrameBytes {
 		return frame{}, errMalformedFrame
 	}
-	data := make([]byte, n)
-	if _, err := io.ReadFull(r, data); err != nil {
+	data, memory, err := bytebudget.ReadBody(io.LimitReader(r, int64(n)), int64(n), maxFrameBytes, budget)
+	if err != nil {
 		return frame{}, err
 	}
+	if len(data) < int(n) {
+		memory.Release()
+		return frame{}, io.ErrUnexpectedEOF
+	}
 	kind, kindSize := binary.Uvarint(data)
 	if kindSize <= 0 {
 		return frame{}, errMalformedFrame
@@ -72,7 +81,7 @@
 		return frame{}, errMalformedFrame
 	}
 	payloadLength := len(rest) - int(bodyLength)
-	return frame{kind: frameKind(kind), id: id, payload: rest[:payloadLength], body: rest[payloadLength:]}, nil
+	return frame{kind: frameKind(kind), id: id, payload: rest[:payloadLength], body: rest[payloadLength:], memory: memory}, nil
 }
 
 // appendPayload appends the encoded call or reply of f to b.
--- a/peerlink/peerlink_test.go
+++ b/peerlink/peerlink_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +17,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 	"pgregory.net/rapid"
 
+	"github.com/goldcrestsail/goldcrestsail/internal/bytebudget"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/message"
 )
@@ -40,7 +43,7 @@
 // transfer encodes a frame and reads it back.
 func (w *tablePair) transfer(t require.TestingT, f frame, now time.Time) frame {
 	f.payload = f.appendPayload(nil, &w.sent, now)
-	got, err := readFrame(bytes.NewReader(append(appendFrame(nil, f), f.body...)))
+	got, err := readFrame(bytes.NewReader(append(appendFrame(nil, f), f.body...)), nil)
 	require.NoError(t, err)
 	return got
 }
@@ -130,7 +133,7 @@
 		if len(data) >= lengthPrefixBytes && bytes.Compare(data[:lengthPrefixBytes], []byte{0, 1, 0, 0}) > 0 {
 			return
 		}
-		got, err := readFrame(bytes.NewReader(data))
+		got, err := readFrame(bytes.NewReader(data), nil)
 		if err != nil {
 			return
 		}
@@ -150,7 +153,7 @@
 		}
 		return &message.Reply{Response: &message.Response{Status: 200, Body: []byte(c.URI)}}
 	})
-	client := NewClient(address)
+	client := NewClient(address, nil)
 	defer client.Close()
 	var wg sync.WaitGroup
 	wg.Go(func() {
@@ -180,7 +183,7 @@
 		close(canceled)
 		return &message.Reply{Failure: kind.New(kind.Canceled, "")}
 	})
-	client := NewClient(address)
+	client := NewClient(address, nil)
 	defer client.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { <-started; cancel() }()
@@ -216,7 +219,7 @@
 // data, and against reporting these calls as not run.
 func TestSilentConnectionIsGivenUp(t *testing.T) {
 	address, reads := silentPeer(t)
-	pool := NewPool()
+	pool := NewPool(nil)
 	defer pool.Close()
 	failures := make(chan *kind.Error, 1)
 	go func() {
@@ -243,7 +246,7 @@
 // whose response may still arrive.
 func TestSilentPeerFailsIdempotentCallsFirst(t *testing.T) {
 	address, reads := silentPeer(t)
-	pool := NewPool()
+	pool := NewPool(nil)
 	defer pool.Close()
 	call := func(unsafe bool) chan *kind.Error {
 		failures := make(chan *kind.Error, 1)
@@ -278,12 +281,28 @@
 	require.NoError(t, err)
 	address := l.Addr().String()
 	l.Close()
-	client := NewClient(address)
+	client := NewClient(address, nil)
 	for range 3 {
 		_, failure := client.Call(context.Background(), testCall("a"))
 		require.Equal(t, kind.DialFailed, failure.Kind)
 		require.Equal(t, kind.NotRun, failure.Run)
 	}
-	_, err = readFrame(io.LimitReader(bytes.NewReader(nil), 0))
+	_, err = readFrame(io.LimitReader(bytes.NewReader(nil), 0), nil)
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// Guards against a peer that announces a long message and thereby takes memory that
+// it never fills, and against messages that together exceed the memory for bodies.
+func TestAnnouncedFrameLengthAllocatesNothing(t *testing.T) {
+	head := binary.BigEndian.AppendUint32(nil, maxFrameBytes)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := readFrame(bytes.NewReader(append(head, make([]byte, 100)...)), nil)
+	runtime.ReadMemStats(&after)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(1<<20))
+	budget := bytebudget.New(4 << 20)
+	_, err = readFrame(bytes.NewReader(append(head, make([]byte, 16<<20)...)), budget)
+	require.ErrorIs(t, err, bytebudget.ErrExhausted)
+	require.Zero(t, budget.Used())
+}
--- a/peerlink/pool.go
+++ b/peerlink/pool.go
@@ -3,16 +3,23 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/internal/bytebudget"
 )
 
 // Pool holds one client for each peer. It is safe for concurrent use.
 type Pool struct {
+	bodyMemory *bytebudget.Budget
+
 	mu      sync.Mutex
 	clients map[string]*Client
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{clients: map[string]*Client{}} }
+// NewPool returns an empty pool. bodyMemory bounds the bodies of all replies
+// together; nil means unlimited.
+func NewPool(bodyMemory *bytebudget.Budget) *Pool {
+	return &Pool{bodyMemory: bodyMemory, clients: map[string]*Client{}}
+}
 
 // Get returns the client of the peer at address, and creates it if necessary.
 func (p *Pool) Get(address string) *Client {
@@ -20,7 +27,7 @@
 	defer p.mu.Unlock()
 	c := p.clients[address]
 	if c == nil {
-		c = NewClient(address)
+		c = NewClient(address, p.bodyMemory)
 		p.clients[address] = c
 	}
 	return c
--- a/peerlink/server.go
+++ b/peerlink/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/goldcrestsail/goldcrestsail/internal/acceptloop"
+	"github.com/goldcrestsail/goldcrestsail/internal/bytebudget"
 	"github.com/goldcrestsail/goldcrestsail/message"
 )
 
@@ -17,6 +18,8 @@
 	Handle func(ctx context.Context, c *message.Call) *message.Reply
 	// Config returns the encoded configuration in force, or nil.
 	Config func() []byte
+	// BodyMemory bounds the bodies of all calls together; nil means unlimited.
+	BodyMemory *bytebudget.Budget
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -64,7 +67,7 @@
 		s.mu.Unlock()
 	}()
 	for {
-		f, err := readFrame(c.reader)
+		f, err := readFrame(c.reader, s.BodyMemory)
 		if err != nil {
 			return
 		}
@@ -80,13 +83,14 @@
 			mu.Unlock()
 			go func() {
 				reply := s.Handle(ctx, call)
+				f.memory.Release()
 				mu.Lock()
 				delete(cancels, f.id)
 				mu.Unlock()
 				cancel()
 				replyFrame := frame{kind: frameReply, id: f.id, reply: reply}
 				if reply.Response != nil {
-					replyFrame.body = reply.Response.Body
+					replyFrame.body, replyFrame.memory = reply.Response.Body, reply.Response.BodyMemory
 				}
 				c.send(replyFrame)
 			}()
--- a/routing/outlier.go
+++ b/routing/outlier.go
@@ -53,7 +53,7 @@
 			return refusal
 		}
 		return failure
-	case kind.DialFailed, kind.PeerLost, kind.AnswerTruncated, kind.AnswerMismatched, kind.AnswerLate:
+	case kind.DialFailed, kind.PeerLost, kind.AnswerTruncated, kind.AnswerTooLarge, kind.AnswerMismatched, kind.AnswerLate:
 		return failure
 	case kind.Draining:
 		return targetDraining
