Let a few nodes of each failure domain read the configuration, the rest follow them

Change: the nodes with the smallest IDs of a failure domain (one in eight, four at least) read the store; the others ask one of them, which holds the request up to 700 ms. A follower whose reader is silent for 1 s, or of whose readers three say that they do not read the store, reads it itself. Each node still reads the store once when it starts. Gossip carries versions as before. Package configreaders decides; its property test runs a domain in virtual time with killed, isolated and cut-off readers, gossip left out: a node that reaches the store is never behind for more than 2 s (5 s if a reader's connection to the store is silent). Without the rule for silent readers, and without their confirmation, the test fails.

--- a/mesh/configuration.go
+++ b/mesh/configuration.go
@@ -16,10 +16,12 @@
 	splitter  *routetable.Splitter
 	encoded   []byte
 	appliedAt time.Time
+	// changed is closed, and replaced, when a configuration is applied.
+	changed chan struct{}
 }
 
 func newConfiguration() *configuration {
-	return &configuration{splitter: routetable.NewSplitter()}
+	return &configuration{splitter: routetable.NewSplitter(), changed: make(chan struct{})}
 }
 
 // current returns the current route table, or nil before the first
@@ -67,6 +69,8 @@
 	}
 	c.table, c.encoded, c.appliedAt = routetable.New(config), encoded, time.Now()
 	c.splitter.Reset()
+	close(c.changed)
+	c.changed = make(chan struct{})
 	return true, nil
 }
 
@@ -85,6 +89,17 @@
 	return c.encoded
 }
 
+// newerThan returns the encoded configuration if it is newer than a version. If it
+// is not, it returns a channel that is closed at the next change.
+func (c *configuration) newerThan(version uint64) ([]byte, <-chan struct{}) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if c.table != nil && c.table.Config().Version > version {
+		return c.encoded, nil
+	}
+	return nil, c.changed
+}
+
 // decodeConfig decodes a configuration received from a peer.
 func decodeConfig(b []byte) (*routetable.Config, error) {
 	var c routetable.Config
--- a/mesh/gossip_delegate.go
+++ b/mesh/gossip_delegate.go
@@ -55,13 +55,7 @@
 			n.log.Warn("failed to fetch configuration from peer", "peer", peer.String(), "version", offset, "error", failure.Error())
 			return
 		}
-		config, err := decodeConfig(encoded)
-		if err != nil {
-			n.log.Error("failed to decode configuration from peer", "peer", peer.String(), "error", err)
-			return
-		}
-		// ApplyConfig logs the outcome.
-		_ = n.ApplyConfig(config, "peer "+peer.String())
+		n.applyPeerConfig(encoded, peer.String())
 	}()
 }
 
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/goldcrestsail/goldcrestsail/chainadmission"
+	"github.com/goldcrestsail/goldcrestsail/configreaders"
 	"github.com/goldcrestsail/goldcrestsail/directory"
 	"github.com/goldcrestsail/goldcrestsail/gate"
 	"github.com/goldcrestsail/goldcrestsail/gossip"
@@ -56,6 +57,8 @@
 	id      uuid.UUID
 	log     hclog.Logger
 	metrics *nodeMetrics
+	// startedAt is when the node was created.
+	startedAt time.Time
 
 	configuration *configuration
 	target        *target
@@ -97,6 +100,10 @@
 	// suspectedPeers holds the addresses of the peers that do not answer
 	// probes. Only the goroutine of runPeriodicTasks accesses it.
 	suspectedPeers map[string]bool
+	// follower decides where the configuration comes from. Only the goroutine that
+	// reads the store accesses it. readsStore reports that this node reads the store.
+	follower   *configreaders.Follower
+	readsStore atomic.Bool
 	// storeReachable reports that the last call to the store succeeded.
 	storeReachable atomic.Bool
 	// saveMu serializes writes of the node's record.
@@ -118,7 +125,7 @@
 	}
 	bodyMemory := bytebudget.New(cmp.Or(config.BodyMemoryBytes, defaultBodyMemoryBytes))
 	n := &Node{
-		config: config, id: uuid.New(), log: config.Logger,
+		config: config, id: uuid.New(), log: config.Logger, startedAt: time.Now(),
 		configuration: newConfiguration(), target: newTarget(config.ReportInterval), gate: gate.New(time.Now()),
 		gossipStarted: make(chan struct{}), lineLimiter: nodelog.NewLimiter(requestLinesPerSecond),
 		inFlight: newInFlight(), peers: peerlink.NewPool(bodyMemory), budgets: newBudgets(config.Budget),
@@ -127,6 +134,7 @@
 	n.directory = directory.New(routing.Options{
 		Node: n.id.String(), DomainFactor: domainFactor, FullUtilization: fullUtilization, SaturatedFactor: saturatedFactor, MaxLatencyFactor: maxLatencyFactor,
 	}, config.FailureDomain, rand.New(rand.NewPCG(seed, 1)))
+	n.follower = configreaders.NewFollower(configreaders.Peer{ID: n.id.String()})
 	n.chains.rng = rand.New(rand.NewPCG(seed, 2))
 	n.chains.table = chainadmission.NewTable()
 	n.service.Store(&config.Service)
@@ -138,7 +146,7 @@
 			n.log.Warn("request rejected as malformed", "remote", remote, "error", err)
 		},
 	}
-	n.peerServer = &peerlink.Server{Handle: n.servePeer, Config: n.configuration.encodedConfig, BodyMemory: bodyMemory}
+	n.peerServer = &peerlink.Server{Handle: n.servePeer, Config: n.configuration.encodedConfig, BodyMemory: bodyMemory, WatchConfig: n.serveFollower}
 	n.metrics = newNodeMetrics(n)
 	return n
 }
--- a/peerlink/client.go
+++ b/peerlink/client.go
@@ -50,10 +50,12 @@
 // session is one connection to the peer with its pending calls.
 type session struct {
 	*conn
-	bodyMemory   *bytebudget.Budget
-	mu           sync.Mutex
-	nextID       uint64
-	pending      map[uint64]pendingCall
+	bodyMemory *bytebudget.Budget
+	mu         sync.Mutex
+	nextID     uint64
+	pending    map[uint64]pendingCall
+	// awaited counts the pending calls that the peer does not hold on purpose.
+	awaited      int
 	lastReceived time.Time
 	// pingedAt is the time of the ping sent since lastReceived, or zero.
 	pingedAt time.Time
@@ -65,6 +67,8 @@
 	reply chan frame
 	// reroutable reports whether the call may also be sent to another peer.
 	reroutable bool
+	// held reports that the peer may hold the reply, so that silence says nothing.
+	held bool
 }
 
 // NewClient returns a client that connects on the first call. bodyMemory bounds the
@@ -180,12 +184,16 @@
 		s.mu.Unlock()
 		return frame{}, kind.Newf(kind.DialFailed, "the connection to the peer is closed: %v", s.err)
 	}
-	if len(s.pending) == 0 {
-		s.lastReceived, s.pingedAt = time.Now(), time.Time{}
+	held := f.kind == frameWatch
+	if !held {
+		if s.awaited == 0 {
+			s.lastReceived, s.pingedAt = time.Now(), time.Time{}
+		}
+		s.awaited++
 	}
 	s.nextID++
 	f.id = s.nextID
-	s.pending[f.id] = pendingCall{reply: reply, reroutable: f.call != nil && !f.call.Unsafe}
+	s.pending[f.id] = pendingCall{reply: reply, reroutable: f.call != nil && !f.call.Unsafe, held: held}
 	s.mu.Unlock()
 	if !s.send(f) {
 		s.removePending(f.id)
@@ -213,7 +221,19 @@
 func (s *session) removePending(id uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.pending, id)
+	s.takePendingLocked(id)
+}
+
+// takePendingLocked removes a pending call and returns it.
+func (s *session) takePendingLocked(id uint64) (pendingCall, bool) {
+	call, ok := s.pending[id]
+	if ok {
+		delete(s.pending, id)
+		if !call.held {
+			s.awaited--
+		}
+	}
+	return call, ok
 }
 
 func (s *session) readLoop() {
@@ -231,10 +251,10 @@
 		}
 		s.mu.Lock()
 		s.lastReceived, s.pingedAt = time.Now(), time.Time{}
-		call, isPending := s.pending[f.id]
-		isPending = isPending && f.kind != framePong
-		if isPending {
-			delete(s.pending, f.id)
+		var call pendingCall
+		isPending := false
+		if f.kind != framePong {
+			call, isPending = s.takePendingLocked(f.id)
 		}
 		s.mu.Unlock()
 		if isPending {
@@ -250,7 +270,7 @@
 	s.mu.Lock()
 	silence := now.Sub(s.lastReceived)
 	pongOverdue := !s.pingedAt.IsZero() && now.Sub(s.pingedAt) >= minPongWait
-	hasPending := len(s.pending) > 0
+	hasPending := s.awaited > 0
 	unresponsive := silence > closeAfter && pongOverdue
 	suspect = silence > suspectAfter && pongOverdue
 	ping := hasPending && silence > pingAfter && s.pingedAt.IsZero()
@@ -277,7 +297,7 @@
 	for id, call := range s.pending {
 		if call.reroutable {
 			removed = append(removed, id)
-			delete(s.pending, id)
+			s.takePendingLocked(id)
 			close(call.reply)
 		}
 	}
@@ -294,7 +314,7 @@
 		s.err = err
 	}
 	pending := s.pending
-	s.pending = map[uint64]pendingCall{}
+	s.pending, s.awaited = map[uint64]pendingCall{}, 0
 	s.mu.Unlock()
 	s.close()
 	for _, call := range pending {
--- a/peerlink/frame.go
+++ b/peerlink/frame.go
@@ -21,6 +21,9 @@
 	framePong
 	frameConfigRequest
 	frameConfig
+	// frameWatch holds the version that the follower has, frameWatched the outcome.
+	frameWatch
+	frameWatched
 )
 
 const (
--- a/peerlink/server.go
+++ b/peerlink/server.go
@@ -18,6 +18,9 @@
 	Handle func(ctx context.Context, c *message.Call) *message.Reply
 	// Config returns the encoded configuration in force, or nil.
 	Config func() []byte
+	// WatchConfig waits for a configuration newer than the given version, as long as
+	// a follower is held. It may be nil.
+	WatchConfig func(ctx context.Context, version uint64) WatchResult
 	// BodyMemory bounds the bodies of all calls together; nil means unlimited.
 	BodyMemory *bytebudget.Budget
 
@@ -66,6 +69,19 @@
 		delete(s.conns, c)
 		s.mu.Unlock()
 	}()
+	// begin returns the context of a request, which ends when the caller cancels it.
+	begin := func(id uint64) (context.Context, func()) {
+		ctx, cancel := context.WithCancel(context.Background())
+		mu.Lock()
+		defer mu.Unlock()
+		cancels[id] = cancel
+		return ctx, func() {
+			mu.Lock()
+			defer mu.Unlock()
+			delete(cancels, id)
+			cancel()
+		}
+	}
 	for {
 		f, err := readFrame(c.reader, s.BodyMemory)
 		if err != nil {
@@ -77,16 +93,10 @@
 			if err != nil {
 				return
 			}
-			ctx, cancel := context.WithCancel(context.Background())
-			mu.Lock()
-			cancels[f.id] = cancel
-			mu.Unlock()
+			ctx, cancel := begin(f.id)
 			go func() {
 				reply := s.Handle(ctx, call)
 				f.memory.Release()
-				mu.Lock()
-				delete(cancels, f.id)
-				mu.Unlock()
 				cancel()
 				replyFrame := frame{kind: frameReply, id: f.id, reply: reply}
 				if reply.Response != nil {
@@ -102,6 +112,12 @@
 			mu.Unlock()
 		case framePing:
 			c.send(frame{kind: framePong, id: f.id})
+		case frameWatch:
+			ctx, cancel := begin(f.id)
+			go func() {
+				defer cancel()
+				c.send(s.serveWatch(ctx, f))
+			}()
 		case frameConfigRequest:
 			c.send(frame{kind: frameConfig, id: f.id, body: s.Config()})
 		}
