Finish calls to a peer that leaves, and let a node announce its end to its peers

Cause: when a member left or was declared dead, its connection was closed with calls still pending, and a node that ended closed its connections while peers were still sending: unsafe calls then end with 502 although nothing has run, and calls at work are lost. Change: a removed peer's connection is closed when its last pending call has ended. A node that ends sends a go-away frame and serves what crosses it until its peers have closed their connections, for at most 300 ms.

--- a/mesh/drain.go
+++ b/mesh/drain.go
@@ -21,6 +21,9 @@
 	// exitMargin is the part of the grace period that is left for the process
 	// to exit.
 	exitMargin = 350 * time.Millisecond
+	// peerDrainTime bounds the time in which the peers close their connections after
+	// they have been told to. It exceeds the round-trip time between any two regions.
+	peerDrainTime = 300 * time.Millisecond
 	// drainPollInterval is how often Drain checks whether work is still in
 	// progress.
 	drainPollInterval = 20 * time.Millisecond
@@ -60,6 +63,7 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
+	n.peerServer.Drain(min(peerDrainTime, time.Until(deadline)))
 	n.log.Info("node stopped", "in_progress", n.inProgress.Load(), "connections", n.callers.Connections(), "after_ms", time.Since(started).Milliseconds())
 	n.Close()
 }
--- a/peerlink/client.go
+++ b/peerlink/client.go
@@ -59,7 +59,10 @@
 	lastReceived time.Time
 	// pingedAt is the time of the ping sent since lastReceived, or zero.
 	pingedAt time.Time
-	err      error
+	// closing reports that the session takes no new calls and is closed when none is
+	// pending.
+	closing bool
+	err     error
 }
 
 // pendingCall is a call without a reply.
@@ -117,6 +120,24 @@
 	return s != nil && !s.ended() && s.checkLiveness(now)
 }
 
+// Retire closes the connection once no call is pending. The calls that are pending
+// get their replies, as far as the peer still sends them.
+func (c *Client) Retire() {
+	c.mu.Lock()
+	s := c.session
+	c.mu.Unlock()
+	if s != nil {
+		s.finish()
+	}
+}
+
+// ended reports whether the client has no open connection.
+func (c *Client) ended() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dialDone == nil && (c.session == nil || c.session.ended())
+}
+
 // Close closes the connection.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -130,7 +151,7 @@
 func (c *Client) connect(ctx context.Context) (*session, *kind.Error) {
 	for {
 		c.mu.Lock()
-		if c.session != nil && !c.session.ended() {
+		if c.session != nil && c.session.open() {
 			s := c.session
 			c.mu.Unlock()
 			return s, nil
@@ -170,6 +191,30 @@
 	close(dialDone)
 }
 
+// open reports whether the session takes new calls.
+func (s *session) open() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err == nil && !s.closing
+}
+
+// finish closes the session once no call is pending.
+func (s *session) finish() {
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
+	s.closeIfFinished()
+}
+
+func (s *session) closeIfFinished() {
+	s.mu.Lock()
+	finished := s.closing && len(s.pending) == 0
+	s.mu.Unlock()
+	if finished {
+		s.fail(net.ErrClosed)
+	}
+}
+
 func (s *session) ended() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -180,9 +225,10 @@
 func (s *session) roundTrip(ctx context.Context, f frame) (frame, *kind.Error) {
 	reply := make(chan frame, 1)
 	s.mu.Lock()
-	if s.err != nil {
+	if s.err != nil || s.closing {
+		err := cmp.Or(s.err, net.ErrClosed)
 		s.mu.Unlock()
-		return frame{}, kind.Newf(kind.DialFailed, "the connection to the peer is closed: %v", s.err)
+		return frame{}, kind.Newf(kind.DialFailed, "the connection to the peer is closed: %v", err)
 	}
 	held := f.kind == frameWatch
 	if !held {
@@ -220,8 +266,9 @@
 
 func (s *session) removePending(id uint64) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.takePendingLocked(id)
+	s.mu.Unlock()
+	s.closeIfFinished()
 }
 
 // takePendingLocked removes a pending call and returns it.
@@ -260,6 +307,11 @@
 		if isPending {
 			call.reply <- f
 		}
+		if f.kind == frameGoAway {
+			s.finish()
+		} else {
+			s.closeIfFinished()
+		}
 	}
 }
 
--- a/peerlink/frame.go
+++ b/peerlink/frame.go
@@ -24,6 +24,9 @@
 	// frameWatch holds the version that the follower has, frameWatched the outcome.
 	frameWatch
 	frameWatched
+	// frameGoAway tells the client that the server is about to close the connection
+	// and serves no further calls.
+	frameGoAway
 )
 
 const (
--- a/peerlink/peerlink_test.go
+++ b/peerlink/peerlink_test.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -306,3 +307,67 @@
 	require.ErrorIs(t, err, bytebudget.ErrExhausted)
 	require.Zero(t, budget.Used())
 }
+
+// Guards against calls that are lost when a member leaves: its announcement may
+// arrive while it is still working on them.
+func TestRemovedPeerFinishesPendingCalls(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	address := startServer(t, func(context.Context, *message.Call) *message.Reply {
+		close(started)
+		<-release
+		return &message.Reply{Response: &message.Response{Status: 200}}
+	})
+	pool := NewPool(nil)
+	defer pool.Close()
+	failure := make(chan *kind.Error)
+	go func() {
+		_, err := pool.Get(address).Call(context.Background(), testCall("a"))
+		failure <- err
+	}()
+	<-started
+	pool.Remove(address)
+	close(release)
+	require.Nil(t, <-failure)
+	require.Eventually(t, func() bool {
+		pool.Check(time.Now())
+		pool.mu.Lock()
+		defer pool.mu.Unlock()
+		return len(pool.retired) == 0
+	}, testTimeout, time.Millisecond)
+}
+
+// Guards against calls that are lost when a node ends: those that cross its
+// announcement are served, and later ones are known not to have run.
+func TestNoCallIsLostWhileServerDrains(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var served atomic.Int32
+	s := &Server{Handle: func(context.Context, *message.Call) *message.Reply {
+		served.Add(1)
+		return &message.Reply{Response: &message.Response{Status: 200}}
+	}}
+	go s.Serve(l)
+	client := NewClient(l.Addr().String(), nil)
+	defer client.Close()
+	var calls sync.WaitGroup
+	failures := make(chan *kind.Error, 16)
+	for range cap(failures) {
+		calls.Go(func() {
+			for {
+				if _, failure := client.Call(context.Background(), testCall("a")); failure != nil {
+					failures <- failure
+					return
+				}
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return served.Load() > 100 }, testTimeout, time.Millisecond)
+	s.Drain(testTimeout)
+	require.Zero(t, s.connections(), "the client closes its connection when it is done")
+	s.Stop()
+	calls.Wait()
+	close(failures)
+	for failure := range failures {
+		require.Equal(t, kind.NotRun, failure.Run, failure.Error())
+	}
+}
--- a/peerlink/pool.go
+++ b/peerlink/pool.go
@@ -1,6 +1,7 @@
 package peerlink
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,8 @@
 
 	mu      sync.Mutex
 	clients map[string]*Client
+	// retired holds removed clients that still have pending calls.
+	retired []*Client
 }
 
 // NewPool returns an empty pool. bodyMemory bounds the bodies of all replies
@@ -41,7 +44,8 @@
 // of the peers that are suspected to have failed.
 func (p *Pool) Check(now time.Time) (suspects []string) {
 	p.mu.Lock()
-	clients := make([]*Client, 0, len(p.clients))
+	p.retired = slices.DeleteFunc(p.retired, (*Client).ended)
+	clients := append(make([]*Client, 0, len(p.clients)+len(p.retired)), p.retired...)
 	for _, c := range p.clients {
 		clients = append(clients, c)
 	}
@@ -54,14 +58,18 @@
 	return suspects
 }
 
-// Remove closes and removes the client of the peer at address.
+// Remove removes the client of the peer at address. Calls that are pending get their
+// replies: a peer that leaves finishes what it has begun.
 func (p *Pool) Remove(address string) {
 	p.mu.Lock()
 	c := p.clients[address]
 	delete(p.clients, address)
+	if c != nil {
+		p.retired = append(p.retired, c)
+	}
 	p.mu.Unlock()
 	if c != nil {
-		c.Close()
+		c.Retire()
 	}
 }
 
@@ -72,4 +80,7 @@
 	for _, c := range p.clients {
 		c.Close()
 	}
+	for _, c := range p.retired {
+		c.Close()
+	}
 }
--- a/peerlink/server.go
+++ b/peerlink/server.go
@@ -43,6 +43,35 @@
 	})
 }
 
+// goAwayInterval is how often Drain looks whether the peers have closed their
+// connections.
+const goAwayInterval = 5 * time.Millisecond
+
+// Drain stops listening and tells all peers to send no further calls. It returns when
+// they have closed their connections, or after the timeout. Until then calls that
+// have crossed the message are served as before.
+func (s *Server) Drain(timeout time.Duration) {
+	s.mu.Lock()
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	for c := range s.conns {
+		// A peer that does not read must not delay the others.
+		go c.send(frame{kind: frameGoAway})
+	}
+	s.mu.Unlock()
+	for end := time.Now().Add(timeout); time.Now().Before(end) && s.connections() > 0; {
+		time.Sleep(goAwayInterval)
+	}
+}
+
+// connections returns the number of open connections.
+func (s *Server) connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Stop closes the listener and all connections.
 func (s *Server) Stop() {
 	s.mu.Lock()
