Try targets that are known as starting for a second

Cause: at 195 nodes the gossip of target states is limited by its budget of 2 KB/s. Change: a target that has been known as starting for a second gets calls. Its own node refuses them if it is not ready, and then it is excluded for 1, 2, 4 and 8 s. The slow gossip itself is left as it is.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -40,6 +40,9 @@
 	// maxLatencyFactor is high enough for a target that is twelve times as slow
 	// to lose its work.
 	maxLatencyFactor = 16.0
+	// assumeReadyAfter is about the time in which a target reports to the node beside
+	// it after its start.
+	assumeReadyAfter = time.Second
 	// loadLogInterval is the least interval between log lines about an
 	// overloaded target, and between those about an insufficient retry budget.
 	loadLogInterval = 500 * time.Millisecond
@@ -133,6 +136,7 @@
 	n.client = httpconn.NewTarget(httpconn.TargetConfig{Names: config.Headers, Address: config.TargetAddress, BodyMemory: bodyMemory})
 	n.directory = directory.New(routing.Options{
 		Node: n.id.String(), DomainFactor: domainFactor, FullUtilization: fullUtilization, SaturatedFactor: saturatedFactor, MaxLatencyFactor: maxLatencyFactor,
+		AssumeReadyAfter: assumeReadyAfter,
 	}, config.FailureDomain, rand.New(rand.NewPCG(seed, 1)))
 	n.follower = configreaders.NewFollower(configreaders.Peer{ID: n.id.String()})
 	n.chains.rng = rand.New(rand.NewPCG(seed, 2))
--- a/routing/options.go
+++ b/routing/options.go
@@ -15,6 +15,11 @@
 	// MinProbeBackoff and MaxProbeBackoff bound the back-off between an ejection and
 	// the next probe. The back-off doubles with each failed probe.
 	MinProbeBackoff, MaxProbeBackoff time.Duration
+	// AssumeReadyAfter is the time after which a target that the membership reports as
+	// starting is tried. In a large cluster in which many members change at once, the
+	// news that it is ready takes longer than it does to become ready, and its node
+	// refuses the call if it is not. 0 waits for the news.
+	AssumeReadyAfter time.Duration
 	// LoadHalfLife is the age at which a reported load counts half.
 	LoadHalfLife time.Duration
 	// DomainFactor is the ratio by which the cost of a target in the node's own
--- a/routing/outlier.go
+++ b/routing/outlier.go
@@ -21,6 +21,9 @@
 	// startingExclusion delays the next attempt at a target that is not ready
 	// although the membership reports it as ready.
 	startingExclusion = time.Second
+	// maxStartingExclusion bounds the exclusion of a target that is known as starting
+	// and has refused several calls.
+	maxStartingExclusion = 8 * time.Second
 )
 
 // callOutcome classifies the result of a call by its effect on the target's
@@ -87,7 +90,7 @@
 	if tgt.ejected {
 		return true
 	}
-	if 2*(t.ejectedReadyCount()+1) > t.readyCount() || tgt.member.State != Ready {
+	if 2*(t.ejectedReadyCount()+1) > t.readyCount() || !tgt.mayGetCalls() {
 		return false
 	}
 	if tgt.backoff == 0 || now.Sub(tgt.restoredAt) > backoffResetFactor*tgt.backoff {
@@ -118,7 +121,7 @@
 	for 2*t.ejectedReadyCount() > t.readyCount() {
 		var oldest *target
 		for _, tgt := range t.ranking {
-			if tgt.ejected && tgt.member.State == Ready && (oldest == nil || tgt.ejectedAt.Before(oldest.ejectedAt)) {
+			if tgt.ejected && tgt.mayGetCalls() && (oldest == nil || tgt.ejectedAt.Before(oldest.ejectedAt)) {
 				oldest = tgt
 			}
 		}
@@ -129,7 +132,7 @@
 func (t *Table) readyCount() int {
 	n := 0
 	for _, tgt := range t.ranking {
-		if tgt.member.State == Ready {
+		if tgt.mayGetCalls() {
 			n++
 		}
 	}
@@ -139,7 +142,7 @@
 func (t *Table) ejectedReadyCount() int {
 	n := 0
 	for _, tgt := range t.ranking {
-		if tgt.ejected && tgt.member.State == Ready {
+		if tgt.ejected && tgt.mayGetCalls() {
 			n++
 		}
 	}
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -115,7 +115,7 @@
 		return "", kind.Newf(kind.NoTarget, "pinned target %s is not available", in.Pinned)
 	case tgt.member.State == Draining:
 		return "", kind.Newf(kind.Draining, "pinned target %s is draining", in.Pinned)
-	case tgt.member.State == Starting:
+	case !tgt.mayGetCalls():
 		return "", kind.Newf(kind.Starting, "pinned target %s is starting", in.Pinned)
 	}
 	return in.Pinned, nil
--- a/routing/subset.go
+++ b/routing/subset.go
@@ -40,7 +40,7 @@
 		}
 		isLocal := tgt.member.FailureDomain == t.subsetDomain
 		switch {
-		case localOnly && !isLocal, tgt.member.State != Ready:
+		case localOnly && !isLocal, !tgt.mayGetCalls():
 		case !tgt.available(now):
 			if t.exclusionEnd.IsZero() || tgt.excludedUntil.Before(t.exclusionEnd) {
 				t.exclusionEnd = tgt.excludedUntil
--- a/routing/table.go
+++ b/routing/table.go
@@ -61,7 +61,8 @@
 	tgt := t.byID[m.ID]
 	if tgt == nil {
 		h := hashString(string(m.ID))
-		tgt = &target{member: m, hash: h, weight: rendezvousWeight(h, t.node), classLatencies: map[string]*movingAverage{}}
+		tgt = &target{member: m, hash: h, weight: rendezvousWeight(h, t.node), classLatencies: map[string]*movingAverage{}, assumeReady: t.options.AssumeReadyAfter > 0}
+		t.awaitReadiness(tgt, now)
 		t.byID[m.ID] = tgt
 		at, _ := slices.BinarySearchFunc(t.ranking, tgt, byWeight)
 		t.ranking = slices.Insert(t.ranking, at, tgt)
@@ -71,19 +72,30 @@
 	if tgt.member.State != m.State {
 		// A state change reported by the target supersedes what was inferred from
 		// calls.
-		tgt.excludedUntil = time.Time{}
+		tgt.excludedUntil, tgt.notReadyBackoff = time.Time{}, 0
 		if m.State == Ready {
 			t.restore(tgt, now)
 			tgt.failures, tgt.backoff = 0, 0
 		}
 	}
 	if tgt.member != m {
+		changed := tgt.member.State != m.State
 		tgt.member = m
+		if changed {
+			t.awaitReadiness(tgt, now)
+		}
 		t.subsetStale = true
 		t.enforceEjectionLimit(now)
 	}
 }
 
+// awaitReadiness excludes a target that is known as starting for AssumeReadyAfter.
+func (t *Table) awaitReadiness(tgt *target, now time.Time) {
+	if tgt.member.State == Starting {
+		tgt.extendExclusion(now.Add(t.options.AssumeReadyAfter))
+	}
+}
+
 // Remove removes a target, for example after it has left the cluster. Calling Done
 // for calls to it that are still in flight has no effect.
 func (t *Table) Remove(now time.Time, id TargetID) {
@@ -150,7 +162,7 @@
 	}
 	switch v {
 	case success:
-		tgt.failures = 0
+		tgt.failures, tgt.notReadyBackoff = 0, 0
 		t.recordClassLatency(tgt, now, r.Class, r.Latency)
 		switch {
 		case r.Class != "" && r.OwnTime > 0:
@@ -177,7 +189,7 @@
 	case targetDraining:
 		t.excludeUntil(tgt, now.Add(drainingExclusion))
 	case targetNotReady:
-		t.excludeUntil(tgt, now.Add(startingExclusion))
+		t.excludeNotReady(tgt, now)
 	}
 }
 
@@ -209,6 +221,17 @@
 	t.subsetStale = true
 }
 
+// excludeNotReady excludes a target that refused a call because it is not ready. If
+// the membership agrees, the exclusion doubles with each refusal.
+func (t *Table) excludeNotReady(tgt *target, now time.Time) {
+	if tgt.member.State == Starting {
+		tgt.notReadyBackoff = min(max(2*tgt.notReadyBackoff, startingExclusion), maxStartingExclusion)
+		t.excludeUntil(tgt, now.Add(tgt.notReadyBackoff))
+		return
+	}
+	t.excludeUntil(tgt, now.Add(startingExclusion))
+}
+
 // Usable returns the number of targets that may get new calls.
 func (t *Table) Usable(now time.Time) int {
 	n := 0
--- a/routing/target.go
+++ b/routing/target.go
@@ -43,6 +43,10 @@
 	// excludedUntil is the end of a local exclusion, for a target that is not to get
 	// calls although the membership reports it as ready.
 	excludedUntil time.Time
+	// assumeReady reports that the target may get calls while it is known as starting,
+	// notReadyBackoff how long it was last excluded because it was not ready.
+	assumeReady     bool
+	notReadyBackoff time.Duration
 
 	ejected bool
 	// silent reports that the target was ejected for not responding, so that a
@@ -54,9 +58,14 @@
 	nextProbe  time.Time
 }
 
+// mayGetCalls reports whether the state of the target allows new calls.
+func (tgt *target) mayGetCalls() bool {
+	return tgt.member.State == Ready || tgt.member.State == Starting && tgt.assumeReady
+}
+
 // available reports whether the target may get new calls, regardless of ejection.
 func (tgt *target) available(now time.Time) bool {
-	return tgt.member.State == Ready && !now.Before(tgt.excludedUntil)
+	return tgt.mayGetCalls() && !now.Before(tgt.excludedUntil)
 }
 
 func (tgt *target) limit() float64 {
