--- a/httpconn/target_test.go
+++ b/httpconn/target_test.go
@@ -205,3 +205,26 @@
 	require.Nil(t, failure)
 	require.EqualValues(t, 2, target.Dials())
 }
+
+// Guards against a request that is sent on the connection of one that was never
+// answered: a target that cannot queue a request stays silent on it for good.
+func TestSilentConnectionIsNotUsedAgain(t *testing.T) {
+	var connections atomic.Int32
+	target := startScriptedTarget(t, func(c net.Conn, br *bufio.Reader) {
+		first := connections.Add(1) == 1
+		for id := readRequestID(br); id != ""; id = readRequestID(br) {
+			if !first {
+				io.WriteString(c, okResponse(id, "of "+id))
+			}
+		}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, failure := target.Do(ctx, newCall("a"), "t")
+	require.Equal(t, kind.DeadlineExpired, failure.Kind)
+	require.Equal(t, kind.MayHaveRun, failure.Run)
+	r, failure := target.Do(context.Background(), newCall("b"), "t")
+	require.Nil(t, failure)
+	require.Equal(t, "of b", string(r.Body))
+	require.EqualValues(t, 2, target.Dials())
+}
