Write the record of a restarted node only if it has changed

Change: a node whose address and departures are recorded already neither saves them nor reads the list again, unless it knows no other member.

--- a/mesh/recovery.go
+++ b/mesh/recovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/goldcrestsail/goldcrestsail/internal/ctxwait"
@@ -46,9 +47,10 @@
 	})
 	defer timeout.Stop()
 	var seeds []netip.AddrPort
+	var saved bool
 	for delay := minStoreRetryDelay; ctx.Err() == nil; delay = min(2*delay, maxStoreRetryDelay) {
 		var err error
-		if seeds, err = n.restoreRecord(ctx); err == nil {
+		if seeds, saved, err = n.restoreRecord(ctx); err == nil {
 			break
 		}
 		ctxwait.For(ctx, delay/2+rand.N(delay))
@@ -59,31 +61,40 @@
 		ctxwait.For(ctx, rejoinInterval)
 		n.gossip.AddSeeds(seeds)
 	}
-	if records, err := n.config.Records.List(ctx); err != nil {
-		n.log.Info("failed to read node records again", "error", err)
-	} else {
-		n.gossip.AddSeeds(n.otherNodes(records))
+	// A node whose record was there already is found by those that start with it.
+	if saved || len(n.gossip.Members()) <= 1 {
+		if records, err := n.config.Records.List(ctx); err != nil {
+			n.log.Info("failed to read node records again", "error", err)
+		} else {
+			n.gossip.AddSeeds(n.otherNodes(records))
+		}
 	}
 	n.removeStaleRecords(ctx)
 }
 
 // restoreRecord joins through the records, restores the departures that an
-// earlier process of this instance saved, and replaces its record. It returns
-// the gossip addresses of the other nodes.
-func (n *Node) restoreRecord(ctx context.Context) ([]netip.AddrPort, error) {
+// earlier process of this instance saved, and replaces its record if it has
+// changed. It returns the gossip addresses of the other nodes, and whether it
+// saved the record.
+func (n *Node) restoreRecord(ctx context.Context) (seeds []netip.AddrPort, saved bool, err error) {
 	records, err := n.config.Records.List(ctx)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	seeds := n.otherNodes(records)
+	seeds = n.otherNodes(records)
 	n.gossip.AddSeeds(seeds)
+	var own Record
 	for _, r := range records {
 		if r.Instance == n.config.Name {
+			own = r
 			n.target.addDepartures(r.Departures...)
 		}
 	}
 	n.markDeparturesKnown()
-	return seeds, n.saveRecord(ctx)
+	if own.Gossip.String() == n.config.GossipAddress && slices.Equal(own.Departures, n.departures()) {
+		return seeds, false, nil
+	}
+	return seeds, true, n.saveRecord(ctx)
 }
 
 // otherNodes returns the gossip addresses of the other nodes.
--- a/mesh/recovery_test.go
+++ b/mesh/recovery_test.go
@@ -1,13 +1,16 @@
 package mesh
 
 import (
+	"context"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
 	"github.com/goldcrestsail/goldcrestsail/membership"
+	"github.com/goldcrestsail/goldcrestsail/registration"
 )
 
 // Guards against keeping the records of instances that are gone for good, which
@@ -26,6 +29,50 @@
 	require.Equal(t, map[string]bool{"gone": true}, absent)
 }
 
+// memoryRecords is a store of records that counts the calls.
+type memoryRecords struct {
+	records      []Record
+	lists, saves int
+}
+
+func (m *memoryRecords) List(context.Context) ([]Record, error) {
+	m.lists++
+	return m.records, nil
+}
+
+func (m *memoryRecords) Save(_ context.Context, r Record) error {
+	m.saves++
+	m.records = append(slices.DeleteFunc(m.records, func(o Record) bool { return o.Instance == r.Instance }), r)
+	return nil
+}
+
+func (m *memoryRecords) Remove(context.Context, string) error { return nil }
+
+// Guards against a restart that writes the record which the store has already: in a
+// rolling restart of hundreds of instances such calls crowd out others.
+func TestRestartWritesRecordOnlyIfItChanged(t *testing.T) {
+	records := &memoryRecords{}
+	start := func(departures ...registration.Departure) bool {
+		n := New(Config{Name: "a", GossipAddress: "127.0.0.77:29471", PeerAddress: "127.0.0.77:29470", Records: records})
+		require.NoError(t, n.startGossip())
+		defer n.gossip.Close()
+		defer n.gate.Close()
+		n.target.addDepartures(departures...)
+		_, saved, err := n.restoreRecord(t.Context())
+		require.NoError(t, err)
+		return saved
+	}
+	require.True(t, start())
+	require.False(t, start())
+	departure := registration.Departure{TargetID: "t", StartedAtMs: 1, State: registration.Left}
+	require.True(t, start(departure))
+	require.False(t, start(departure))
+	require.False(t, start(), "the departures of the earlier process are restored")
+	require.Equal(t, 2, records.saves)
+	records.records[0].Gossip = netip.MustParseAddrPort("127.0.0.9:1")
+	require.True(t, start(), "the address has changed")
+}
+
 // Guards against several nodes that remove records at the same time.
 func TestOnlyNodeWithSmallestIDRemovesRecords(t *testing.T) {
 	a, b := membership.Member{ID: uuid.UUID{1}, State: membership.Alive}, membership.Member{ID: uuid.UUID{2}, State: membership.Alive}
