--- a/mesh/admin.go
+++ b/mesh/admin.go
@@ -57,7 +57,8 @@
 		"gossip":  gossipStats(n.gossip.Stats()),
 		"chains":  n.chainState(now),
 		"budgets": n.budgets.states(now),
-		"store":   map[string]any{"in_touch": n.storeReachable.Load()},
+		"store":   map[string]any{"in_touch": n.storeReachable.Load(), "reads_config": n.readsStore.Load()},
+		"bodies":  map[string]any{"bytes": n.bodyMemory.Used(), "limit_bytes": n.bodyMemory.Limit()},
 	}
 }
 
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -42,16 +42,21 @@
 	gauge("target_limit", func() float64 { s, _ := n.gate.Stats(); return float64(s.Limit) })
 	gauge("cutoff", func() float64 { return float64(n.gate.Cutoff()) })
 	gauge("members", func() float64 { return float64(countPresent(n.gossip.Members())) })
-	gauge("store_in_touch", func() float64 {
-		if n.storeReachable.Load() {
-			return 1
-		}
-		return 0
-	})
+	gauge("store_in_touch", func() float64 { return boolGauge(n.storeReachable.Load()) })
+	gauge("reads_store", func() float64 { return boolGauge(n.readsStore.Load()) })
+	gauge("body_memory_bytes", func() float64 { return float64(n.bodyMemory.Used()) })
+	gauge("body_memory_limit_bytes", func() float64 { return float64(n.bodyMemory.Limit()) })
 	gauge("gossip_bytes_sent", func() float64 { return float64(n.gossip.Stats().BytesSent) })
 	return m
 }
 
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // registerBudgetGauges registers the gauges of a service's retry budget.
 func (m *nodeMetrics) registerBudgetGauges(n *Node, service string) {
 	m.set.GetOrCreateGauge(fmt.Sprintf("goldcrestsail_repeats_left{service=%q}", service), func() float64 { return n.budgets.serviceState(time.Now(), service).Tokens })
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -71,7 +71,9 @@
 	directory     *directory.Directory
 	peers         *peerlink.Pool
 	budgets       *budgets
-	chains        struct {
+	// bodyMemory bounds the bodies that the process holds.
+	bodyMemory *bytebudget.Budget
+	chains     struct {
 		mu    sync.Mutex
 		rng   *rand.Rand
 		table *chainadmission.Table
@@ -131,7 +133,7 @@
 		config: config, id: uuid.New(), log: config.Logger, startedAt: time.Now(),
 		configuration: newConfiguration(), target: newTarget(config.ReportInterval), gate: gate.New(time.Now()),
 		gossipStarted: make(chan struct{}), lineLimiter: nodelog.NewLimiter(requestLinesPerSecond),
-		inFlight: newInFlight(), peers: peerlink.NewPool(bodyMemory), budgets: newBudgets(config.Budget),
+		bodyMemory: bodyMemory, inFlight: newInFlight(), peers: peerlink.NewPool(bodyMemory), budgets: newBudgets(config.Budget),
 	}
 	n.client = httpconn.NewTarget(httpconn.TargetConfig{Names: config.Headers, Address: config.TargetAddress, BodyMemory: bodyMemory})
 	n.directory = directory.New(routing.Options{
