Spread the readiness of all targets within the start of a large cluster

Cause: after a mass start the send budget of the gossip (2 KB/s, burst 32 KB) went to 12 sends of each update by each node, and updates that are not urgent waited until 30 to 40% of the burst had come back. Anti-entropy delivers what four sends miss.

--- a/membership/config.go
+++ b/membership/config.go
@@ -70,7 +70,7 @@
 	// SendRateBytes is the long-term bound on bytes sent per second, IP and
 	// UDP headers included (2,000).
 	SendRateBytes int
-	// SendBurstBytes is the largest burst of bytes above that rate (32,000).
+	// SendBurstBytes is the largest burst of bytes above that rate (64,000).
 	SendBurstBytes int
 }
 
@@ -100,7 +100,7 @@
 	setDefault(&c.MaxBroadcasts, 1024)
 	setDefault(&c.MaxDatagramBytes, 1200)
 	setDefault(&c.SendRateBytes, 2000)
-	setDefault(&c.SendBurstBytes, 32000)
+	setDefault(&c.SendBurstBytes, 64000)
 	return c
 }
 
--- a/membership/node.go
+++ b/membership/node.go
@@ -225,8 +225,16 @@
 	n.offsetSendsLeft = 2 * n.cfg.UrgentFanout
 }
 
-// retransmitLimit returns how many times this node sends one update.
-func (n *Node) retransmitLimit() int {
+// lessUrgentSends is how many times a node sends an update that is not urgent. In a
+// mass change each further send takes the budget of an update that others lack;
+// members that miss one get it through anti-entropy.
+const lessUrgentSends = 4
+
+// retransmitLimit returns how many times this node sends one update of an urgency.
+func (n *Node) retransmitLimit(urgency urgencyLevel) int {
+	if urgency != urgent {
+		return lessUrgentSends
+	}
 	// In a small cluster, fewer sends could all be lost.
 	const minSends = 12
 	limit := int(math.Ceil(n.cfg.RetransmitFactor * math.Log2(float64(len(n.present)+2))))
@@ -255,12 +263,11 @@
 // gives for each urgency the fraction of the burst that must remain in the
 // budget; updates of an urgency with a reserve of 1 or more are not sent.
 func (n *Node) addQueuedUpdates(b *builder, reserves [urgencyCount]float64) {
-	limit := n.retransmitLimit()
 	for urgency := range n.queues {
 		if n.queues[urgency].size == 0 || reserves[urgency] >= 1 {
 			continue
 		}
-		n.queues[urgency].offer(limit, n.now.Add(-maxRumorAge).UnixNano(), func(i queueItem) bool {
+		n.queues[urgency].offer(n.retransmitLimit(urgencyLevel(urgency)), n.now.Add(-maxRumorAge).UnixNano(), func(i queueItem) bool {
 			available := n.budget.available(reserves[urgency]) - b.size - PacketOverheadBytes
 			if i.broadcast != nil {
 				return b.addBroadcast(&i.broadcast.Broadcast, available)
--- a/membership/reserves.go
+++ b/membership/reserves.go
@@ -5,9 +5,9 @@
 // reserve for later urgent ones.
 var (
 	// probeReserves applies to updates on probes and acknowledgements.
-	probeReserves = [urgencyCount]float64{urgent: 0, prompt: 0.3, routine: 0.35}
+	probeReserves = [urgencyCount]float64{urgent: 0, prompt: 0.1, routine: 0.35}
 	// roundReserves applies to update rounds.
-	roundReserves = [urgencyCount]float64{urgent: 0, prompt: 0.4, routine: 0.4}
+	roundReserves = [urgencyCount]float64{urgent: 0, prompt: 0.1, routine: 0.4}
 )
 
 // joinReserves applies to answers to joining members. It leaves no reserve: the
