Keep two of three gossip exchanges in the failure domain

Cause: gossip chose its peers regardless of the domain, so that of its bytes five of six crossed domains at six domains. Change: update rounds and anti-entropy choose a member of the own failure domain with a probability of 0.67. Probes stay random over all members. TestUpdatesStayInFailureDomain fails with a share of 0.

--- a/membership/mass_start_test.go
+++ b/membership/mass_start_test.go
@@ -69,3 +69,19 @@
 	defaults := membership.Config{}.WithDefaults()
 	require.LessOrEqual(t, float64(largest), float64(2*defaults.SendBurstBytes)+trafficStart.Seconds()*float64(defaults.SendRateBytes))
 }
+
+// TestUpdatesStayInFailureDomain guards against gossip that sends most of its bytes
+// between failure domains, where they cost more, however many instances there are.
+func TestUpdatesStayInFailureDomain(t *testing.T) {
+	t.Parallel()
+	domains := map[string]int{}
+	sent := map[bool]int{}
+	startTogether(t, func(p *cluster.Peer, effect membership.Effect) {
+		domains[p.Addr.String()] = p.Index % massStartDomains
+		if s, ok := effect.(membership.Send); ok {
+			to, known := domains[s.To.String()]
+			sent[!known || to != p.Index%massStartDomains] += len(s.Bytes)
+		}
+	})
+	require.Less(t, sent[true], sent[false]*3/2, "with random peers five of six bytes leave the domain")
+}
--- a/membership/node.go
+++ b/membership/node.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -317,6 +318,34 @@
 	return out
 }
 
+// localPeerShare is the share of update rounds and anti-entropy exchanges that stay
+// in the node's failure domain, where bytes cost less. The rest is enough for an
+// update to reach every domain within a round or two.
+const localPeerShare = 0.67
+
+// updatePeers returns up to k distinct present members for an update round or an
+// anti-entropy exchange, most of them in the node's failure domain.
+func (n *Node) updatePeers(k int) []*entry {
+	// maxLocalTries bounds the search for a member of a domain that has few.
+	const maxLocalTries = 24
+	var out []*entry
+	for range k {
+		var peer *entry
+		local := n.rng.Float64() < localPeerShare
+		for tries := 0; tries < maxLocalTries && peer == nil; tries++ {
+			for _, e := range n.randomPeers(1, nil) {
+				if !local || e.Meta.FailureDomain == n.self.Meta.FailureDomain || tries == maxLocalTries-1 {
+					peer = e
+				}
+			}
+		}
+		if peer != nil && !slices.Contains(out, peer) {
+			out = append(out, peer)
+		}
+	}
+	return out
+}
+
 // Members returns all known members in no particular order, including the node
 // itself and the dead and left members that are still in the table.
 func (n *Node) Members() []Member {
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -43,7 +43,7 @@
 // anti-entropy of Demers et al. (PODC 1987) with digests: first of the root,
 // then of the buckets, then of the entries in differing buckets.
 func (n *Node) startSync() {
-	peers := n.randomPeers(1, nil)
+	peers := n.updatePeers(1)
 	if len(peers) == 0 || !n.hasBudget(100, syncReserve) {
 		return
 	}
--- a/membership/timers.go
+++ b/membership/timers.go
@@ -142,7 +142,7 @@
 		}
 		n.leaveRounds++
 	}
-	for _, peer := range n.randomPeers(n.cfg.UrgentFanout, nil) {
+	for _, peer := range n.updatePeers(n.cfg.UrgentFanout) {
 		b := n.newUpdatesBuilder()
 		n.addQueuedUpdates(b, roundReserves)
 		if len(b.msg.Updates)+len(b.msg.Broadcasts) == 0 {
