Let only the bound end the calls of the endless test

Traced by the same test with ten times the deadline (race detector, same load): it passes. So the check depended on the speed of the machine. Change: the calls have no deadline at all, which is stricter, and a chunk has 256 bytes. The product is unchanged.

--- a/httpconn/target_endless_test.go
+++ b/httpconn/target_endless_test.go
@@ -35,7 +35,7 @@
 	"header fields": {okHead, "X-Many: many\r\n"},
 	"interim":       {"", "HTTP/1.1 102 Processing\r\n\r\n"},
 	"body":          {okHead + "\r\n", "body"},
-	"chunks":        {okHead + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+	"chunks":        {okHead + "Transfer-Encoding: chunked\r\n\r\n", "100\r\n" + strings.Repeat("body", 64) + "\r\n"},
 	"trailer":       {okHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n", "X-Many: many\r\n"},
 	"other answers": {"", "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Seal: s\r\nContent-Length: 4\r\n\r\nbody"},
 }
@@ -56,8 +56,8 @@
 }
 
 // Guards against a target in trouble that sends bytes without end and thereby takes
-// the memory of its node: every form ends by a bound well before the deadline, with
-// an error that counts against the target.
+// the memory of its node: every form ends by a bound, with an error that counts
+// against the target.
 func TestEndlessResponseIsBounded(t *testing.T) {
 	for name, endless := range endlessResponses {
 		t.Run(name, func(t *testing.T) {
@@ -75,8 +75,9 @@
 			runtime.GC()
 			var before runtime.MemStats
 			runtime.ReadMemStats(&before)
-			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
-			defer cancel()
+			// Without a deadline, only a bound can end the calls, however slow the
+			// machine is.
+			ctx := context.Background()
 			done, peak := make(chan struct{}), make(chan uint64)
 			go func() { peak <- peakHeap(done) }()
 			failures := make([]*kind.Error, endlessCalls)
@@ -92,7 +93,6 @@
 				require.Contains(t, []kind.Kind{kind.AnswerMismatched, kind.AnswerTruncated}, failure.Kind, failure.Detail)
 				require.Equal(t, kind.MayHaveRun, failure.Run)
 			}
-			require.NoError(t, ctx.Err(), "a bound ends the calls, not the deadline")
 			require.Less(t, growth, int64(maxEndlessHeapGrowth))
 			require.Zero(t, target.cfg.BodyMemory.Used())
 		})
