Reuse the blocks of bodies that have failed

Cause: when a body found no room in the budget, its bytes were given back while its blocks were still uncollected, so that others could take the same bytes again. Change: blocks come from a pool and go back to it before their bytes do.

--- a/internal/bytebudget/read_body.go
+++ b/internal/bytebudget/read_body.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"sync"
 )
 
 const (
@@ -99,8 +100,18 @@
 	return n, nil
 }
 
+// blockPool holds blocks that are not in use. Without it the blocks of bodies that
+// have failed would remain in memory, uncounted, until the next garbage collection.
+var blockPool = sync.Pool{New: func() any { return new([blockBytes]byte) }}
+
 // readBlocks reads the rest of a body after its first block.
 func readBlocks(r io.Reader, first []byte, maxBytes int, reservation *Reservation) ([]byte, error) {
+	var used []*[blockBytes]byte
+	defer func() {
+		for _, block := range used {
+			blockPool.Put(block)
+		}
+	}()
 	blocks, total := [][]byte{first}, len(first)
 	for atEnd := false; !atEnd; {
 		if total > maxBytes {
@@ -109,8 +120,9 @@
 		if reservation != nil && !reservation.grow(blockBytes) {
 			return nil, ErrExhausted
 		}
-		block := make([]byte, blockBytes)
-		n, err := fill(r, block)
+		block := blockPool.Get().(*[blockBytes]byte)
+		used = append(used, block)
+		n, err := fill(r, block[:])
 		atEnd = err == io.EOF
 		if err != nil && !atEnd {
 			return nil, err
