--- a/membership/config.go
+++ b/membership/config.go
@@ -50,7 +50,8 @@
 	// UrgentFanout is how many random members an update round sends to (3).
 	UrgentFanout int
 	// RetransmitFactor times log2(members+1) is how many times each node sends
-	// an update, within fixed bounds (1.5).
+	// an urgent update, within fixed bounds (1.5). Other updates are sent a fixed
+	// number of times.
 	RetransmitFactor float64
 	// SyncInterval is the time between two anti-entropy exchanges (5 s).
 	SyncInterval time.Duration
