--- a/mesh/follow_config.go
+++ b/mesh/follow_config.go
@@ -17,9 +17,10 @@
 
 // AwaitStoreRead returns when the node has to read the configuration from the
 // store. Until then it follows a reader of its failure domain and applies the
-// configurations that this reader has. Only one goroutine calls it; the one that
-// reads the store reports the outcome with RecordStoreCall.
-func (n *Node) AwaitStoreRead(ctx context.Context) {
+// configurations that this reader has, and reports whether it did so. Only one
+// goroutine calls it; the one that reads the store reports the outcome with
+// RecordStoreCall.
+func (n *Node) AwaitStoreRead(ctx context.Context) (followed bool) {
 	if n.readsStore.Load() {
 		n.follower.StoreRead()
 		ctxwait.For(ctx, settleTime-time.Since(n.startedAt))
@@ -31,10 +32,12 @@
 				"config_version", n.configuration.version())
 		}
 		if action.ReadStore {
-			return
+			return followed
 		}
 		n.follow(ctx, action.Reader)
+		followed = true
 	}
+	return followed
 }
 
 // follow asks a reader once for a newer configuration.
