Keep only the departures of the node's own target

Targets would see: requests that reach a target after its node has acknowledged that it leaves (DRAIN), in a release of many targets. Cause: every node kept the departures of all targets from the broadcasts of its peers, 64 at most, and dropped the oldest. After a restart the node's own departure is the oldest, since it comes from the record, and 64 others displace it; a late report then makes the departed target ready again. The record that the node writes to the store held the others, too. Change: the broadcast names the instance of the target, and a node keeps what concerns its own. A broadcast without the name, of an earlier version, is kept. Found by asking what a node learns again after the store has lost its record.

--- a/mesh/target_reports.go
+++ b/mesh/target_reports.go
@@ -68,7 +68,7 @@
 // broadcastDeparture sends a departure to the peers, which return it to this
 // node after a restart.
 func (n *Node) broadcastDeparture(d registration.Departure) {
-	payload, err := json.Marshal(d)
+	payload, err := json.Marshal(departureMessage{n.config.Name, d})
 	if err != nil {
 		n.log.Error("failed to encode departure", "target", d.TargetID, "error", err)
 		return
@@ -76,14 +76,18 @@
 	n.gossip.Broadcast(membership.Broadcast{Kind: departureBroadcastKind, ID: d.TargetID, Payload: payload, Expiry: time.Now().Add(departureTTL)})
 }
 
-// receiveDeparture applies a departure received from a peer.
+// receiveDeparture applies a departure that an earlier process of this instance has
+// acknowledged. Those of the targets of other instances are not kept.
 func (n *Node) receiveDeparture(b membership.Broadcast) {
-	var d registration.Departure
-	if err := json.Unmarshal(b.Payload, &d); err != nil {
+	var m departureMessage
+	if err := json.Unmarshal(b.Payload, &m); err != nil {
 		n.log.Warn("failed to decode departure from peer", "id", b.ID, "error", err)
 		return
 	}
-	n.target.addDepartures(d)
+	if m.Instance != "" && m.Instance != n.config.Name {
+		return
+	}
+	n.target.addDepartures(m.Departure)
 	n.applyTargetState(time.Now())
 }
 
