Write the node's record until the store holds it, also after a restore

Targets would see: requests that reach a target after its departure has been acknowledged (DRAIN), once its node has restarted and a late report says ready. Cause: a node wrote its record once for each change. A write that failed was logged and not repeated; a write that the store has lost with a restore was not made again. A restarted node reads the record, finds no departure, and starts before gossip tells it. Change: package recordsync decides when the record is written: after a change, after a failure with backoff, and when a higher timeline of the store is known than that of the acknowledged write. Metrics, dump and log lines show timeline and record. Reports that change no departure no longer write the record.

--- a/mesh/admin.go
+++ b/mesh/admin.go
@@ -41,6 +41,7 @@
 		})
 	}
 	queue, limits := n.gate.Stats()
+	timeline, _ := n.timeline.current()
 	return map[string]any{
 		"node": map[string]any{
 			"instance": n.config.Name, "id": n.id.String(), "service": *n.service.Load(), "region": n.config.Region,
@@ -57,7 +58,7 @@
 		"gossip":  gossipStats(n.gossip.Stats()),
 		"chains":  n.chainState(now),
 		"budgets": n.budgets.states(now),
-		"store":   map[string]any{"in_touch": n.storeReachable.Load(), "reads_config": n.readsStore.Load()},
+		"store":   map[string]any{"in_touch": n.storeReachable.Load(), "reads_config": n.readsStore.Load(), "timeline": timeline, "holds_record": n.recordCurrent()},
 		"bodies":  map[string]any{"bytes": n.bodyMemory.Used(), "limit_bytes": n.bodyMemory.Limit()},
 	}
 }
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -15,6 +15,7 @@
 	set                                *metrics.Set
 	shedEarly, retries, attempts       *metrics.Counter
 	malformed, reportsIgnored          *metrics.Counter
+	storeRestores                      *metrics.Counter
 	attemptTime, targetTime, queueTime *metrics.Histogram
 }
 
@@ -27,6 +28,7 @@
 		attempts:       set.NewCounter("goldcrestsail_attempts_total"),
 		malformed:      set.NewCounter("goldcrestsail_malformed_total"),
 		reportsIgnored: set.NewCounter("goldcrestsail_reports_ignored_total"),
+		storeRestores:  set.NewCounter("goldcrestsail_store_restores_total"),
 		attemptTime:    set.NewHistogram("goldcrestsail_hop_seconds"),
 		targetTime:     set.NewHistogram("goldcrestsail_target_seconds"),
 		queueTime:      set.NewHistogram("goldcrestsail_queue_seconds"),
@@ -43,6 +45,8 @@
 	gauge("cutoff", func() float64 { return float64(n.gate.Cutoff()) })
 	gauge("members", func() float64 { return float64(countPresent(n.gossip.Members())) })
 	gauge("store_in_touch", func() float64 { return boolGauge(n.storeReachable.Load()) })
+	gauge("store_timeline", func() float64 { newest, _ := n.timeline.current(); return float64(newest) })
+	gauge("record_in_store", func() float64 { return boolGauge(n.recordCurrent()) })
 	gauge("reads_store", func() float64 { return boolGauge(n.readsStore.Load()) })
 	gauge("body_memory_bytes", func() float64 { return float64(n.bodyMemory.Used()) })
 	gauge("body_memory_limit_bytes", func() float64 { return float64(n.bodyMemory.Limit()) })
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -111,8 +111,10 @@
 	readsStore atomic.Bool
 	// storeReachable reports that the last call to the store succeeded.
 	storeReachable atomic.Bool
-	// saveMu serializes writes of the node's record.
-	saveMu sync.Mutex
+	// timeline is the newest timeline of the store that is known, record the state of
+	// the node's record there.
+	timeline *storeTimeline
+	record   *recordWriter
 	// storeCalled reports that at least one call to the store has completed.
 	storeCalled atomic.Bool
 	// fetchingConfig is true while a configuration is fetched from a peer.
@@ -141,6 +143,8 @@
 		AssumeReadyAfter: assumeReadyAfter,
 	}, config.FailureDomain, rand.New(rand.NewPCG(seed, 1)))
 	n.follower = configreaders.NewFollower(configreaders.Peer{ID: n.id.String()})
+	n.timeline = newStoreTimeline()
+	n.record = newRecordWriter(rand.New(rand.NewPCG(seed, 3)))
 	n.chains.rng = rand.New(rand.NewPCG(seed, 2))
 	n.chains.table = chainadmission.NewTable()
 	n.service.Store(&config.Service)
--- a/mesh/records.go
+++ b/mesh/records.go
@@ -11,10 +11,12 @@
 // of a deployment discover each other. Each method is called by one goroutine
 // at a time and may fail at any time.
 type Records interface {
-	// List returns the records of all instances.
-	List(ctx context.Context) ([]Record, error)
-	// Save replaces the record of an instance.
-	Save(ctx context.Context, r Record) error
+	// List returns the records of all instances and the timeline of the store, 0 if
+	// it states none.
+	List(ctx context.Context) (records []Record, timeline uint64, err error)
+	// Save replaces the record of an instance and returns the timeline in which the
+	// store has acknowledged it.
+	Save(ctx context.Context, r Record) (timeline uint64, err error)
 	// Remove deletes the record of an instance.
 	Remove(ctx context.Context, instance string) error
 }
--- a/mesh/recovery.go
+++ b/mesh/recovery.go
@@ -9,6 +9,7 @@
 
 	"github.com/goldcrestsail/goldcrestsail/internal/ctxwait"
 	"github.com/goldcrestsail/goldcrestsail/membership"
+	"github.com/goldcrestsail/goldcrestsail/recordsync"
 )
 
 const (
@@ -38,32 +39,31 @@
 	recordCleanupInterval = time.Hour
 )
 
-// recoverRecords joins through the records of all nodes, restores and replaces
-// the node's own record, and removes stale records until ctx is canceled.
+// recoverRecords joins through the records of all nodes, restores the node's own
+// record and keeps it written, and removes stale records until ctx is canceled.
 func (n *Node) recoverRecords(ctx context.Context) {
 	timeout := time.AfterFunc(departuresTimeout, func() {
 		n.log.Warn("departures of earlier processes could not be read in time; allowing work to the target")
 		n.markDeparturesKnown()
 	})
 	defer timeout.Stop()
-	var seeds []netip.AddrPort
-	var saved bool
+	var restored restoredRecord
 	for delay := minStoreRetryDelay; ctx.Err() == nil; delay = min(2*delay, maxStoreRetryDelay) {
 		var err error
-		if seeds, saved, err = n.restoreRecord(ctx); err == nil {
+		if restored, err = n.restoreRecord(ctx); err == nil {
 			break
 		}
 		ctxwait.For(ctx, delay/2+rand.N(delay))
 	}
 	timeout.Stop()
-	n.markDeparturesKnown()
+	go n.keepRecordWritten(ctx)
 	for range int(recordsRereadDelay / rejoinInterval) {
 		ctxwait.For(ctx, rejoinInterval)
-		n.gossip.AddSeeds(seeds)
+		n.gossip.AddSeeds(restored.seeds)
 	}
 	// A node whose record was there already is found by those that start with it.
-	if saved || len(n.gossip.Members()) <= 1 {
-		if records, err := n.config.Records.List(ctx); err != nil {
+	if restored.written || len(n.gossip.Members()) <= 1 {
+		if records, _, err := n.config.Records.List(ctx); err != nil {
 			n.log.Info("failed to read node records again", "error", err)
 		} else {
 			n.gossip.AddSeeds(n.otherNodes(records))
@@ -72,17 +72,25 @@
 	n.removeStaleRecords(ctx)
 }
 
-// restoreRecord joins through the records, restores the departures that an
-// earlier process of this instance saved, and replaces its record if it has
-// changed. It returns the gossip addresses of the other nodes, and whether it
-// saved the record.
-func (n *Node) restoreRecord(ctx context.Context) (seeds []netip.AddrPort, saved bool, err error) {
-	records, err := n.config.Records.List(ctx)
+// restoredRecord is the outcome of restoreRecord.
+type restoredRecord struct {
+	// seeds are the gossip addresses of the other nodes.
+	seeds []netip.AddrPort
+	// written reports that the node's record was written, since it was not in the
+	// store or has changed.
+	written bool
+}
+
+// restoreRecord joins through the records, restores the departures that an earlier
+// process of this instance saved, and replaces its record if it has changed.
+func (n *Node) restoreRecord(ctx context.Context) (restoredRecord, error) {
+	records, timeline, err := n.config.Records.List(ctx)
 	if err != nil {
-		return nil, false, err
+		return restoredRecord{}, err
 	}
-	seeds = n.otherNodes(records)
-	n.gossip.AddSeeds(seeds)
+	n.ObserveStoreTimeline(timeline)
+	restored := restoredRecord{seeds: n.otherNodes(records)}
+	n.gossip.AddSeeds(restored.seeds)
 	var own Record
 	for _, r := range records {
 		if r.Instance == n.config.Name {
@@ -92,9 +100,12 @@
 	}
 	n.markDeparturesKnown()
 	if own.Gossip.String() == n.config.GossipAddress && slices.Equal(own.Departures, n.departures()) {
-		return seeds, false, nil
+		n.record.update(func(k *recordsync.Keeper) { k.Confirm(timeline) })
+		return restored, nil
 	}
-	return seeds, true, n.saveRecord(ctx)
+	restored.written = true
+	n.changeRecord()
+	return restored, n.writeRecord(ctx)
 }
 
 // otherNodes returns the gossip addresses of the other nodes.
@@ -109,34 +120,24 @@
 }
 
 // markDeparturesKnown allows work to the target: the departures that earlier
-// processes of the node acknowledged have been read or could not be read in
-// time.
+// processes of the node acknowledged are known or could not be learned in time.
 func (n *Node) markDeparturesKnown() {
 	n.target.setDeparturesKnown()
 	n.applyTargetState(time.Now())
 }
 
-// saveRecord replaces the record of this instance.
-func (n *Node) saveRecord(ctx context.Context) error {
-	address, err := netip.ParseAddrPort(n.config.GossipAddress)
-	if err != nil {
-		return err
-	}
-	n.saveMu.Lock()
-	defer n.saveMu.Unlock()
-	return n.config.Records.Save(ctx, Record{Instance: n.config.Name, Gossip: address, Departures: n.departures()})
-}
-
-// saveDepartures saves the departures before one of them is acknowledged. If
-// that takes too long, the peers still know them from gossip.
+// saveDepartures waits until the departures are saved, before one of them is
+// acknowledged. If that takes too long, the peers still know them from gossip, and
+// the write is repeated until the store has acknowledged it.
 func (n *Node) saveDepartures(ctx context.Context) {
 	if n.config.Records == nil {
 		return
 	}
+	revision := n.changeRecord()
 	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
 	defer cancel()
-	if err := n.saveRecord(ctx); err != nil {
-		n.log.Warn("failed to save departures", "error", err, "departures", len(n.departures()))
+	if !n.awaitRecord(ctx, revision) {
+		n.log.Warn("departure acknowledged before it was saved", "revision", revision, "departures", len(n.departures()))
 	}
 }
 
@@ -150,7 +151,7 @@
 			absent = nil
 			continue
 		}
-		records, err := n.config.Records.List(ctx)
+		records, _, err := n.config.Records.List(ctx)
 		if err != nil {
 			n.log.Info("failed to read node records for cleanup", "error", err)
 			continue
--- a/mesh/recovery_test.go
+++ b/mesh/recovery_test.go
@@ -32,18 +32,19 @@
 // memoryRecords is a store of records that counts the calls.
 type memoryRecords struct {
 	records      []Record
+	timeline     uint64
 	lists, saves int
 }
 
-func (m *memoryRecords) List(context.Context) ([]Record, error) {
+func (m *memoryRecords) List(context.Context) ([]Record, uint64, error) {
 	m.lists++
-	return m.records, nil
+	return m.records, m.timeline, nil
 }
 
-func (m *memoryRecords) Save(_ context.Context, r Record) error {
+func (m *memoryRecords) Save(_ context.Context, r Record) (uint64, error) {
 	m.saves++
 	m.records = append(slices.DeleteFunc(m.records, func(o Record) bool { return o.Instance == r.Instance }), r)
-	return nil
+	return m.timeline, nil
 }
 
 func (m *memoryRecords) Remove(context.Context, string) error { return nil }
@@ -51,16 +52,16 @@
 // Guards against a restart that writes the record which the store has already: in a
 // rolling restart of hundreds of instances such calls crowd out others.
 func TestRestartWritesRecordOnlyIfItChanged(t *testing.T) {
-	records := &memoryRecords{}
+	records := &memoryRecords{timeline: 1}
 	start := func(departures ...registration.Departure) bool {
 		n := New(Config{Name: "a", GossipAddress: "127.0.0.77:29471", PeerAddress: "127.0.0.77:29470", Records: records})
 		require.NoError(t, n.startGossip())
 		defer n.gossip.Close()
 		defer n.gate.Close()
 		n.target.addDepartures(departures...)
-		_, saved, err := n.restoreRecord(t.Context())
+		restored, err := n.restoreRecord(t.Context())
 		require.NoError(t, err)
-		return saved
+		return restored.written
 	}
 	require.True(t, start())
 	require.False(t, start())
--- a/mesh/target_reports.go
+++ b/mesh/target_reports.go
@@ -50,7 +50,7 @@
 		}
 	}
 	n.applyTargetState(now)
-	if before.State != after.State {
+	if before.State != after.State && after.State != registration.Ready {
 		n.saveDepartures(ctx)
 	}
 	return nil
--- /dev/null
+++ b/recordsync/keeper.go
@@ -0,0 +1,125 @@
+package recordsync
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// minRetryDelay and maxRetryDelay bound the exponential backoff after a failed
+	// write, before jitter. With the longer one a record is written within about a
+	// second of the return of the store.
+	minRetryDelay = 100 * time.Millisecond
+	maxRetryDelay = time.Second
+)
+
+// Keeper tracks what the store holds of one record and decides when the record is
+// written. It is not safe for concurrent use.
+type Keeper struct {
+	rng *rand.Rand
+	// wanted is the version that the store should hold.
+	wanted Version
+	// stored is the version that the store has acknowledged; isStored is false until
+	// there is one.
+	stored   Version
+	isStored bool
+	// writing is the version of the write in progress, if isWriting.
+	writing   Version
+	isWriting bool
+	// due is when the next write starts, or zero.
+	due   time.Time
+	delay time.Duration
+}
+
+// New returns the keeper of a record that has not been written. rng spreads the
+// writes of many nodes.
+func New(rng *rand.Rand) *Keeper { return &Keeper{rng: rng, delay: minRetryDelay} }
+
+// Change records that the content has changed, and returns its revision. The write is
+// due at once.
+func (k *Keeper) Change(now time.Time) uint64 {
+	k.wanted.Revision++
+	k.schedule(now)
+	return k.wanted.Revision
+}
+
+// ObserveTimeline records that the store is on a timeline, and reports whether that
+// is news. If the store has been restored since the record was written, the next
+// write is due at a random time within spread.
+func (k *Keeper) ObserveTimeline(now time.Time, timeline uint64, spread time.Duration) bool {
+	if timeline <= k.wanted.Timeline {
+		return false
+	}
+	k.wanted.Timeline = timeline
+	if k.isStored {
+		k.schedule(now.Add(time.Duration(k.rng.Float64() * float64(spread))))
+	}
+	return true
+}
+
+// Confirm records that the store holds the present content in the timeline.
+func (k *Keeper) Confirm(timeline uint64) {
+	k.stored, k.isStored = Version{k.wanted.Revision, timeline}, true
+	if k.Current() {
+		k.due = time.Time{}
+	}
+}
+
+// NextWrite returns when the next write starts; ok is false if none is planned.
+func (k *Keeper) NextWrite() (at time.Time, ok bool) {
+	return k.due, !k.due.IsZero() && !k.isWriting
+}
+
+// Begin starts a write if one is due and none is in progress. The content is taken
+// after Begin. Each write ends with Written or Failed.
+func (k *Keeper) Begin(now time.Time) (v Version, ok bool) {
+	if k.isWriting || k.due.IsZero() || now.Before(k.due) {
+		return Version{}, false
+	}
+	k.writing, k.isWriting, k.due = k.wanted, true, time.Time{}
+	return k.writing, true
+}
+
+// Written records that the store has acknowledged the write in progress in a
+// timeline. If that is not the newest one that is known, the write is repeated.
+func (k *Keeper) Written(now time.Time, timeline uint64) {
+	k.isWriting, k.isStored = false, true
+	k.stored = Version{k.writing.Revision, min(timeline, k.writing.Timeline)}
+	k.wanted.Timeline = max(k.wanted.Timeline, timeline)
+	if k.Current() {
+		k.delay = minRetryDelay
+		return
+	}
+	k.retry(now)
+}
+
+// Failed records that the write in progress was not acknowledged. It is repeated,
+// whether or not it has taken effect.
+func (k *Keeper) Failed(now time.Time) {
+	k.isWriting = false
+	k.retry(now)
+}
+
+// Current reports whether the store holds the wanted version.
+func (k *Keeper) Current() bool { return k.isStored && k.stored == k.wanted }
+
+// Holds reports whether the store holds at least the given revision, in the newest
+// timeline that is known.
+func (k *Keeper) Holds(revision uint64) bool {
+	return k.isStored && k.stored.Revision >= revision && k.stored.Timeline == k.wanted.Timeline
+}
+
+// Timeline returns the newest timeline that is known, or 0.
+func (k *Keeper) Timeline() uint64 { return k.wanted.Timeline }
+
+func (k *Keeper) retry(now time.Time) {
+	k.schedule(now.Add(k.delay/2 + time.Duration(k.rng.Float64()*float64(k.delay))))
+	k.delay = min(2*k.delay, maxRetryDelay)
+}
+
+// schedule plans a write unless an earlier one is planned.
+func (k *Keeper) schedule(at time.Time) {
+	if k.due.IsZero() || at.Before(k.due) {
+		k.due = at
+	}
+}
