Do not take a record from before a restore for complete

Targets would see: requests after their departure has been acknowledged (DRAIN): the node restarts between the restore of the store and the repeated write of its record, and a late report says that the target is ready. Cause: a restarted node allowed work to its target as soon as it had read its record, however old the record was. Change: a record says in which timeline of the store its departures are complete.

--- a/mesh/record_writer.go
+++ b/mesh/record_writer.go
@@ -74,6 +74,9 @@
 		return nil
 	}
 	r := Record{Instance: n.config.Name, Gossip: address, Departures: n.departures()}
+	if n.target.departuresAreKnown() {
+		r.Timeline = version.Timeline
+	}
 	timeline, err := n.config.Records.Save(ctx, r)
 	if err != nil {
 		n.record.update(func(k *recordsync.Keeper) { k.Failed(time.Now()) })
--- a/mesh/records.go
+++ b/mesh/records.go
@@ -28,4 +28,7 @@
 	Gossip netip.AddrPort
 	// Departures are the departures that the node has acknowledged.
 	Departures []registration.Departure
+	// Timeline is the timeline of the store in which the departures were known to be
+	// complete, or 0 if they may not be.
+	Timeline uint64
 }
--- a/mesh/recovery.go
+++ b/mesh/recovery.go
@@ -37,14 +37,18 @@
 	// is removed: departures matter for seconds only, and a node that starts
 	// again writes a new record.
 	recordCleanupInterval = time.Hour
+	// firstTimeline is the timeline of a store that has never been restored.
+	firstTimeline = 1
 )
 
 // recoverRecords joins through the records of all nodes, restores the node's own
 // record and keeps it written, and removes stale records until ctx is canceled.
 func (n *Node) recoverRecords(ctx context.Context) {
 	timeout := time.AfterFunc(departuresTimeout, func() {
-		n.log.Warn("departures of earlier processes could not be read in time; allowing work to the target")
+		n.log.Warn("departures of earlier processes may not be known in full; allowing work to the target", "departures", len(n.departures()))
 		n.markDeparturesKnown()
+		// The record in the store may say that it is not complete.
+		n.changeRecord()
 	})
 	defer timeout.Stop()
 	var restored restoredRecord
@@ -55,7 +59,11 @@
 		}
 		ctxwait.For(ctx, delay/2+rand.N(delay))
 	}
-	timeout.Stop()
+	if restored.complete {
+		timeout.Stop()
+	} else {
+		timeout.Reset(departuresTimeout)
+	}
 	go n.keepRecordWritten(ctx)
 	for range int(recordsRereadDelay / rejoinInterval) {
 		ctxwait.For(ctx, rejoinInterval)
@@ -79,27 +87,38 @@
 	// written reports that the node's record was written, since it was not in the
 	// store or has changed.
 	written bool
+	// complete reports that the record holds all departures that earlier processes
+	// of the instance have acknowledged.
+	complete bool
 }
 
 // restoreRecord joins through the records, restores the departures that an earlier
-// process of this instance saved, and replaces its record if it has changed.
+// process of this instance saved, and replaces its record if it has changed. If the
+// store has been restored from a copy since the record was written, departures that
+// were acknowledged later may be missing; the peers know them from gossip.
 func (n *Node) restoreRecord(ctx context.Context) (restoredRecord, error) {
 	records, timeline, err := n.config.Records.List(ctx)
 	if err != nil {
 		return restoredRecord{}, err
 	}
 	n.ObserveStoreTimeline(timeline)
-	restored := restoredRecord{seeds: n.otherNodes(records)}
+	restored := restoredRecord{seeds: n.otherNodes(records), complete: timeline <= firstTimeline}
 	n.gossip.AddSeeds(restored.seeds)
 	var own Record
 	for _, r := range records {
 		if r.Instance == n.config.Name {
 			own = r
 			n.target.addDepartures(r.Departures...)
+			restored.complete = r.Timeline == timeline
 		}
 	}
-	n.markDeparturesKnown()
-	if own.Gossip.String() == n.config.GossipAddress && slices.Equal(own.Departures, n.departures()) {
+	if restored.complete {
+		n.markDeparturesKnown()
+	} else {
+		n.log.Warn("record of the instance is older than the restore of the store; departures may be missing", "timeline", timeline,
+			"record_timeline", own.Timeline, "departures", len(own.Departures))
+	}
+	if restored.complete && own.Gossip.String() == n.config.GossipAddress && slices.Equal(own.Departures, n.departures()) {
 		n.record.update(func(k *recordsync.Keeper) { k.Confirm(timeline) })
 		return restored, nil
 	}
--- a/mesh/recovery_test.go
+++ b/mesh/recovery_test.go
@@ -52,7 +52,7 @@
 // Guards against a restart that writes the record which the store has already: in a
 // rolling restart of hundreds of instances such calls crowd out others.
 func TestRestartWritesRecordOnlyIfItChanged(t *testing.T) {
-	records := &memoryRecords{timeline: 1}
+	records := &memoryRecords{timeline: firstTimeline}
 	start := func(departures ...registration.Departure) bool {
 		n := New(Config{Name: "a", GossipAddress: "127.0.0.77:29471", PeerAddress: "127.0.0.77:29470", Records: records})
 		require.NoError(t, n.startGossip())
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -86,6 +86,13 @@
 	t.departuresKnown = true
 }
 
+// departuresAreKnown reports whether setDeparturesKnown has been called.
+func (t *target) departuresAreKnown() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.departuresKnown
+}
+
 // reset drops the current report, for example when the service has changed.
 func (t *target) reset() {
 	t.mu.Lock()
