Refuse late writes of a node's record by a token

Targets would see: requests after their departure has been acknowledged (DRAIN): the node's record lacks the departure after a restart. Cause: a write that gets no response may take effect seconds later, also after a newer one has been acknowledged, and then replaces it. Change: each write has a token that rises with the time of day and with each write.

--- a/mesh/record_writer.go
+++ b/mesh/record_writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -67,24 +68,30 @@
 	if err != nil {
 		return err
 	}
-	var version recordsync.Version
+	var write recordsync.Write
 	var due bool
-	n.record.update(func(k *recordsync.Keeper) { version, due = k.Begin(time.Now()) })
+	n.record.update(func(k *recordsync.Keeper) { write, due = k.Begin(time.Now()) })
 	if !due {
 		return nil
 	}
 	r := Record{Instance: n.config.Name, Gossip: address, Departures: n.departures()}
 	if n.target.departuresAreKnown() {
-		r.Timeline = version.Timeline
+		r.Timeline = write.Timeline
 	}
-	timeline, err := n.config.Records.Save(ctx, r)
+	timeline, err := n.config.Records.Save(ctx, r, write.Token)
 	if err != nil {
-		n.record.update(func(k *recordsync.Keeper) { k.Failed(time.Now()) })
-		n.log.Warn("failed to write the node's record", "revision", version.Revision, "timeline", version.Timeline, "departures", len(r.Departures), "error", err)
+		n.record.update(func(k *recordsync.Keeper) {
+			if errors.Is(err, ErrFenced) {
+				k.Fenced(time.Now())
+			} else {
+				k.Failed(time.Now())
+			}
+		})
+		n.log.Warn("failed to write the node's record", "revision", write.Revision, "timeline", write.Timeline, "token", write.Token, "departures", len(r.Departures), "error", err)
 		return err
 	}
 	n.record.update(func(k *recordsync.Keeper) { k.Written(time.Now(), timeline) })
-	n.log.Info("node's record written", "revision", version.Revision, "timeline", timeline, "departures", len(r.Departures))
+	n.log.Info("node's record written", "revision", write.Revision, "timeline", timeline, "token", write.Token, "departures", len(r.Departures))
 	return nil
 }
 
--- a/mesh/records.go
+++ b/mesh/records.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 
 	"github.com/goldcrestsail/goldcrestsail/registration"
 )
 
+// ErrFenced means that a record has been saved with a higher token.
+var ErrFenced = errors.New("a record with a higher token has been saved")
+
 // Records stores what must survive the processes of a node and lets the nodes
 // of a deployment discover each other. Each method is called by one goroutine
 // at a time and may fail at any time.
@@ -15,8 +19,9 @@
 	// it states none.
 	List(ctx context.Context) (records []Record, timeline uint64, err error)
 	// Save replaces the record of an instance and returns the timeline in which the
-	// store has acknowledged it.
-	Save(ctx context.Context, r Record) (timeline uint64, err error)
+	// store has acknowledged it. A save with a lower token than one that has taken
+	// effect takes none, and returns ErrFenced if it is answered.
+	Save(ctx context.Context, r Record, token uint64) (timeline uint64, err error)
 	// Remove deletes the record of an instance.
 	Remove(ctx context.Context, instance string) error
 }
--- a/recordsync/keeper.go
+++ b/recordsync/keeper.go
@@ -11,6 +11,10 @@
 	// second of the return of the store.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = time.Second
+	// minTokenLead is by how many milliseconds tokens run ahead of the clock after a
+	// first refusal. It doubles with each further one, so that a clock that has been
+	// set back by an hour costs twelve writes.
+	minTokenLead = 1000
 )
 
 // Keeper tracks what the store holds of one record and decides when the record is
@@ -23,9 +27,12 @@
 	// there is one.
 	stored   Version
 	isStored bool
-	// writing is the version of the write in progress, if isWriting.
-	writing   Version
+	// writing is the write in progress, if isWriting.
+	writing   Write
 	isWriting bool
+	// token is the token of the last write, tokenLead by how many milliseconds tokens
+	// run ahead of the clock.
+	token, tokenLead uint64
 	// due is when the next write starts, or zero.
 	due   time.Time
 	delay time.Duration
@@ -71,12 +78,14 @@
 }
 
 // Begin starts a write if one is due and none is in progress. The content is taken
-// after Begin. Each write ends with Written or Failed.
-func (k *Keeper) Begin(now time.Time) (v Version, ok bool) {
+// after Begin. Each write ends with Written, Failed or Fenced. Tokens follow the time
+// of day, so that those of a restarted process are higher.
+func (k *Keeper) Begin(now time.Time) (w Write, ok bool) {
 	if k.isWriting || k.due.IsZero() || now.Before(k.due) {
-		return Version{}, false
+		return Write{}, false
 	}
-	k.writing, k.isWriting, k.due = k.wanted, true, time.Time{}
+	k.token = max(k.token+1, uint64(now.UnixMilli())+k.tokenLead)
+	k.writing, k.isWriting, k.due = Write{k.wanted, k.token}, true, time.Time{}
 	return k.writing, true
 }
 
@@ -100,6 +109,14 @@
 	k.retry(now)
 }
 
+// Fenced records that the store has refused the write in progress, since it has
+// executed one with a higher token: by an earlier process whose clock was ahead. It is
+// repeated with a higher token.
+func (k *Keeper) Fenced(now time.Time) {
+	k.tokenLead = max(2*k.tokenLead, minTokenLead)
+	k.Failed(now)
+}
+
 // Current reports whether the store holds the wanted version.
 func (k *Keeper) Current() bool { return k.isStored && k.stored == k.wanted }
 
