Let a draining node take only what it can answer before it ends

Cause: with fewer than half of a domain's nodes ready, clients go on using those that drain, and a target that has work keeps the listener open for its sub-calls. A draining node took every request with its full deadline, also those that outlast its grace period. Change: requests that may outlast the process get the deadline that the process can keep, 200 ms before its end, and the caller's answer is awaited until 50 ms before it; the target ends by itself and its answer is passed on. A request that begins a chain after the clients have had time to notice is refused with 503 when it cannot be finished: an unsafe one always, an idempotent one if its latency objective does not fit. The answer of a target is awaited 25 ms beyond the deadline that it was told.

--- a/mesh/drain.go
+++ b/mesh/drain.go
@@ -40,6 +40,7 @@
 	started := time.Now()
 	grace := time.Duration(n.grace.Load())
 	deadline := started.Add(grace - exitMargin)
+	n.drainTimes.Store(&drainTimes{started: started, ends: deadline})
 	n.log.Info("node draining", "in_progress", n.inProgress.Load(), "at_target", n.inFlight.count(), "connections", n.callers.Connections())
 	n.callers.Drain()
 	listening := true
--- /dev/null
+++ b/mesh/drain_bound.go
@@ -0,0 +1,48 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/kind"
+)
+
+const (
+	// targetEndMargin is how long before the end of a draining node a target has to
+	// have answered: its response still has to return through two nodes.
+	targetEndMargin = 200 * time.Millisecond
+	// answerEndMargin is how long before the end of a draining node a caller gets its
+	// answer at the latest.
+	answerEndMargin = 50 * time.Millisecond
+)
+
+// drainTimes are the times of a node's drain.
+type drainTimes struct {
+	// started is when the drain began, ends when the process ends by force.
+	started, ends time.Time
+}
+
+// bound limits a request of a caller to the time that a draining node has left.
+// Without it, requests that outlast the process end without an answer. The target is
+// told the sooner deadline, and ends by itself. It is not changed for a request that
+// ends in time anyway.
+//
+// Callers that have not noticed the drain yet send requests until
+// readinessPropagation has passed. A request that begins a chain later is refused if
+// it may not be finished: an unsafe one in any case, since it could not be repeated
+// after it had been cut short, an idempotent one if its latency objective does not fit.
+func (d *drainTimes) bound(q *request, arrived time.Time) *kind.Error {
+	if d == nil {
+		return nil
+	}
+	last := d.ends.Add(-targetEndMargin)
+	if !q.call.Deadline.After(last) {
+		return nil
+	}
+	late := arrived.Sub(d.started) >= readinessPropagation
+	if left := last.Sub(arrived); q.root && late && (q.call.Unsafe || left < max(q.route.Objective, minTimeLeft)) {
+		return kind.Newf(kind.Draining, "the node ends in %d ms, before the request may have", left.Milliseconds())
+	}
+	q.call.Deadline = last
+	q.answerBy = d.ends.Add(-answerEndMargin)
+	return nil
+}
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -12,6 +12,10 @@
 	"github.com/goldcrestsail/goldcrestsail/message"
 )
 
+// targetAnswerMargin is how long after its deadline the answer of a target is awaited:
+// it ends its work at the deadline by itself, and says so.
+const targetAnswerMargin = 25 * time.Millisecond
+
 // servePeer executes a call received from another node.
 func (n *Node) servePeer(ctx context.Context, call *message.Call) *message.Reply {
 	n.inProgress.Add(1)
@@ -76,7 +80,7 @@
 	if call.Unsafe {
 		parent = context.WithoutCancel(ctx)
 	}
-	sendCtx, cancel := context.WithDeadline(parent, call.Deadline)
+	sendCtx, cancel := context.WithDeadline(parent, call.Deadline.Add(targetAnswerMargin))
 	defer cancel()
 	response, failure := n.client.Do(sendCtx, call, targetID)
 	if failure != nil {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -89,6 +89,8 @@
 	draining atomic.Bool
 	// targetClosed reports that the target gets no more work.
 	targetClosed atomic.Bool
+	// drainTimes is nil until the node drains.
+	drainTimes atomic.Pointer[drainTimes]
 	// grace holds the grace period as a time.Duration.
 	grace atomic.Int64
 	// inProgress counts requests in progress, of callers and of peers.
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -35,6 +35,8 @@
 	parent *run
 	// root reports that the request is the root of a chain.
 	root bool
+	// answerBy is when the caller has to have an answer.
+	answerBy time.Time
 	// possibleRuns counts the attempts that may have run, attempts all
 	// attempts.
 	possibleRuns, attempts int
@@ -49,7 +51,7 @@
 	q, failure := n.classify(r)
 	var reply *message.Reply
 	if failure == nil {
-		requestCtx, cancel := context.WithDeadline(ctx, q.call.Deadline)
+		requestCtx, cancel := context.WithDeadline(ctx, q.answerBy)
 		reply = n.handle(requestCtx, q)
 		cancel()
 		failure = reply.Failure
@@ -99,7 +101,11 @@
 	if t := q.route.Timeout; t > 0 && r.Arrived.Add(t).Before(call.Deadline) {
 		call.Deadline = r.Arrived.Add(t)
 	}
+	q.answerBy = call.Deadline
 	q.root = q.parent == nil
+	if failure := n.drainTimes.Load().bound(q, r.Arrived); failure != nil {
+		return q, failure
+	}
 	if !q.root {
 		call.Importance, call.ChainLevel, call.Admitted = q.parent.call.Importance, q.parent.call.ChainLevel, true
 		call.MaxWait = maxSubCallWait
