Match a departure without a start time with late reports of the target

Cause: a target may leave without a start time in its message. A node that has not had a report of it, since it has just started, stored the departure with start time 0, and a late report with the real one counted as a new process: multan-2 starts at 22.745 s, acknowledges the departure of i-bd698bc70e at 22.957 s and takes it for ready at 25.247 s, with sequence number 19. Change: such a departure keeps the time of day of its announcement and applies to all processes of the target that started before. The target's clock is that of the same instance. Evidence: TestDepartureBeforeFirstReportHolds fails before. No restore of the store is needed: a restart in the seconds before a departure is.

--- a/mesh/departures_test.go
+++ b/mesh/departures_test.go
@@ -37,3 +37,24 @@
 	require.NotNil(t, failure)
 	require.Len(t, n.departures(), 1)
 }
+
+// Guards against work for a target that has left just after its node had started: the
+// node did not know the start time of the target yet, and takes a late report for that
+// of a new process.
+func TestDepartureBeforeFirstReportHolds(t *testing.T) {
+	n := New(Config{Name: "a", Service: "s", GossipAddress: "127.0.0.77:29481", PeerAddress: "127.0.0.77:29480"})
+	require.NoError(t, n.startGossip())
+	defer n.gossip.Close()
+	defer n.gate.Close()
+	n.target.setDeparturesKnown()
+	n.TargetLeft(t.Context(), "i-1", 0)
+	report := registration.Report{TargetID: "i-1", Service: "s", StartedAtMs: time.Now().Add(-time.Minute).UnixMilli(), Seq: 19, State: registration.Ready, Slots: 1}
+	require.NoError(t, n.ReportTarget(t.Context(), report))
+	_, failure := n.target.acceptsWork(time.Now())
+	require.NotNil(t, failure)
+	// A process that starts later under the same ID is another one.
+	report.StartedAtMs, report.Seq = time.Now().Add(time.Second).UnixMilli(), 1
+	require.NoError(t, n.ReportTarget(t.Context(), report))
+	_, failure = n.target.acceptsWork(time.Now())
+	require.Nil(t, failure)
+}
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -67,7 +67,7 @@
 func (t *target) recordLeave(targetID string, born int64) registration.Departure {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.tracker.MarkLeft(targetID, born)
+	return t.tracker.MarkLeft(time.Now(), targetID, born)
 }
 
 // addDepartures applies departures that were restored or received from a peer.
--- a/registration/tracker.go
+++ b/registration/tracker.go
@@ -55,14 +55,17 @@
 }
 
 // MarkLeft records that a target has announced that it has left, and returns the
-// departure. If startedAtMs is 0, it applies to the current process of that
-// target. If the target is not the current one, only the departure is stored.
-func (t *Tracker) MarkLeft(targetID string, startedAtMs int64) Departure {
+// departure. If startedAtMs is 0, it applies to the current process of that target;
+// if the target is not the current one, to all its processes that started before now.
+func (t *Tracker) MarkLeft(now time.Time, targetID string, startedAtMs int64) Departure {
 	d := Departure{TargetID: targetID, StartedAtMs: startedAtMs, State: Left}
 	if t.current.TargetID == targetID && (startedAtMs == 0 || startedAtMs == t.current.StartedAtMs) {
 		t.current.State = Left
 		d.StartedAtMs, d.Seq = t.current.StartedAtMs, t.current.Seq
 	}
+	if d.StartedAtMs == 0 {
+		d.AnnouncedAtMs = now.UnixMilli()
+	}
 	t.ApplyDeparture(d)
 	return d
 }
@@ -70,10 +73,20 @@
 // ApplyDeparture stores a departure and applies it to the current target. The
 // departure can come from another source than the target's reports.
 func (t *Tracker) ApplyDeparture(d Departure) {
+	t.storeDeparture(d)
+	if c := &t.current; c.State == Ready && t.hasDeparted(*c) {
+		c.State = d.State
+	}
+}
+
+// storeDeparture adds a departure to the stored ones, or merges it with that of the
+// same process.
+func (t *Tracker) storeDeparture(d Departure) {
 	for i := range t.departures {
 		known := &t.departures[i]
 		if known.TargetID == d.TargetID && known.StartedAtMs == d.StartedAtMs {
 			known.State, known.Seq = max(known.State, d.State), max(known.Seq, d.Seq)
+			known.AnnouncedAtMs = max(known.AnnouncedAtMs, d.AnnouncedAtMs)
 			return
 		}
 	}
@@ -81,15 +94,12 @@
 		t.departures = t.departures[1:]
 	}
 	t.departures = append(t.departures, d)
-	if c := &t.current; c.State == Ready && t.hasDeparted(*c) {
-		c.State = d.State
-	}
 }
 
 // hasDeparted reports whether the process that sent r has announced a departure.
 func (t *Tracker) hasDeparted(r Report) bool {
 	for _, d := range t.departures {
-		if d.TargetID == r.TargetID && d.StartedAtMs == r.StartedAtMs {
+		if d.of(r) {
 			return true
 		}
 	}
--- a/registration/tracker_test.go
+++ b/registration/tracker_test.go
@@ -52,7 +52,7 @@
 func TestDepartureSurvivesNodeRestart(t *testing.T) {
 	oldNode := NewTracker(time.Second)
 	oldNode.ApplyReport(at(0), readyReport("a", 1, 1))
-	d := oldNode.MarkLeft("a", 0)
+	d := oldNode.MarkLeft(at(0), "a", 0)
 	newNode := NewTracker(time.Second)
 	newNode.ApplyDeparture(d)
 	require.False(t, newNode.ApplyReport(at(1), readyReport("a", 1, 2)))
@@ -81,9 +81,9 @@
 func TestDelayedDepartureOfEarlierProcess(t *testing.T) {
 	tr := NewTracker(time.Second)
 	tr.ApplyReport(at(0), readyReport("a", 2, 1))
-	tr.MarkLeft("a", 1)
+	tr.MarkLeft(at(0), "a", 1)
 	require.Equal(t, Ready, tr.Current(at(0)).State)
-	tr.MarkLeft("a", 2)
+	tr.MarkLeft(at(0), "a", 2)
 	require.Equal(t, Left, tr.Current(at(0)).State)
 }
 
