End an idle connection of a draining node only while it waits for a request

Cause: after SIGTERM a request at work could be canceled and answered with 502, a request that was still arriving answered with 400, and a last response lost to a reset. CloseIdle took a connection for idle if no request was in progress, and sets a read deadline that is due at once. A request counts as in progress only when it has been read, and its response no longer when it is ready to be written. So the deadline could hit the reading of a request (half a request line is malformed), the wait for the caller's close after the last response, or, if its goroutine is descheduled between check and deadline, the watch for a caller that disconnects, which cancels the request. Change: the check and the deadline are made under a lock, and only while the reader waits for the first byte of a request.

--- a/httpconn/server_conn.go
+++ b/httpconn/server_conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,8 +53,15 @@
 	// queue holds the exchanges in progress in request order.
 	queue    chan *exchange
 	inFlight atomic.Int32
+	// idleMu guards awaiting and closeWhenIdle, and the read deadline while awaiting
+	// is true.
+	idleMu sync.Mutex
+	// awaiting reports that the reader waits for the first byte of a request. Only
+	// then may closeIfIdle set a deadline: later, it would end the reading of a
+	// request, or look like a caller that has disconnected.
+	awaiting bool
 	// closeWhenIdle reports that the connection is closed once it is idle.
-	closeWhenIdle atomic.Bool
+	closeWhenIdle bool
 }
 
 func newServerConn(s *Server, nc net.Conn) *serverConn {
@@ -139,11 +147,11 @@
 		if c.br.Buffered() > 0 {
 			return true
 		}
-		_ = c.nc.SetReadDeadline(time.Now().Add(idle))
-		if c.closeWhenIdle.Load() && c.inFlight.Load() == 0 {
+		if !c.beginAwait(idle) {
 			return false
 		}
 		_, err := c.br.Peek(1)
+		c.endAwait()
 		if err == nil {
 			return true
 		}
@@ -154,6 +162,25 @@
 	}
 }
 
+// beginAwait sets the read deadline for the first byte of a request. It returns false
+// if the connection is idle and has to be closed.
+func (c *serverConn) beginAwait(idle time.Duration) bool {
+	c.idleMu.Lock()
+	defer c.idleMu.Unlock()
+	if c.closeWhenIdle && c.inFlight.Load() == 0 {
+		return false
+	}
+	c.awaiting = true
+	_ = c.nc.SetReadDeadline(time.Now().Add(idle))
+	return true
+}
+
+func (c *serverConn) endAwait() {
+	c.idleMu.Lock()
+	defer c.idleMu.Unlock()
+	c.awaiting = false
+}
+
 // watchForClose cancels the context when the caller closes the connection while its
 // last request is in progress, and then closes callerClosed.
 func (c *serverConn) watchForClose(callerClosed chan<- struct{}) {
@@ -180,11 +207,16 @@
 	}
 }
 
-// closeIfIdle closes the connection if no request is in progress.
+// closeIfIdle closes the connection if no request is in progress and none is being
+// read.
 func (c *serverConn) closeIfIdle() {
-	if c.inFlight.Load() == 0 {
-		// The reader may overwrite this deadline; it then checks closeWhenIdle.
-		c.closeWhenIdle.Store(true)
+	c.idleMu.Lock()
+	defer c.idleMu.Unlock()
+	if c.inFlight.Load() > 0 {
+		return
+	}
+	c.closeWhenIdle = true
+	if c.awaiting {
 		_ = c.nc.SetReadDeadline(time.Now())
 	}
 }
