Count the connections that are accepted while a listener is closed

Cause: closing a listener does not wait for the goroutine that accepts connections. One that it had just accepted was not counted, so that a drain could end while its request was read and passed on, and a peer on such a connection was not told to send no further calls. Change: StopListening, and Drain and Stop of the peer server, return when the accepting goroutine has ended.

--- a/httpconn/server.go
+++ b/httpconn/server.go
@@ -34,14 +34,18 @@
 
 	mu       sync.Mutex
 	listener net.Listener
+	// accepted is closed when no further connection is accepted.
+	accepted chan struct{}
 	conns    map[*serverConn]struct{}
 	draining bool
 }
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) {
+	accepted := make(chan struct{})
+	defer close(accepted)
 	s.mu.Lock()
-	s.listener = l
+	s.listener, s.accepted = l, accepted
 	s.conns = map[*serverConn]struct{}{}
 	s.mu.Unlock()
 	acceptloop.Run(l, func(nc net.Conn) {
@@ -67,13 +71,15 @@
 	}
 }
 
-// StopListening closes the listener and leaves connections open.
+// StopListening closes the listener and leaves connections open. When it returns,
+// Connections counts all that have been accepted.
 func (s *Server) StopListening() {
 	s.mu.Lock()
-	l := s.listener
+	l, accepted := s.listener, s.accepted
 	s.mu.Unlock()
 	if l != nil {
 		_ = l.Close()
+		<-accepted
 	}
 }
 
--- a/peerlink/server.go
+++ b/peerlink/server.go
@@ -26,13 +26,17 @@
 
 	mu       sync.Mutex
 	listener net.Listener
+	// accepted is closed when no further connection is accepted.
+	accepted chan struct{}
 	conns    map[*conn]struct{}
 }
 
 // Serve accepts connections on l until Stop is called.
 func (s *Server) Serve(l net.Listener) {
+	accepted := make(chan struct{})
+	defer close(accepted)
 	s.mu.Lock()
-	s.listener, s.conns = l, map[*conn]struct{}{}
+	s.listener, s.accepted, s.conns = l, accepted, map[*conn]struct{}{}
 	s.mu.Unlock()
 	acceptloop.Run(l, func(nc net.Conn) {
 		c := newConn(nc)
@@ -51,10 +55,8 @@
 // they have closed their connections, or after the timeout. Until then calls that
 // have crossed the message are served as before.
 func (s *Server) Drain(timeout time.Duration) {
+	s.stopListening()
 	s.mu.Lock()
-	if s.listener != nil {
-		_ = s.listener.Close()
-	}
 	for c := range s.conns {
 		// A peer that does not read must not delay the others.
 		go c.send(frame{kind: frameGoAway})
@@ -65,6 +67,18 @@
 	}
 }
 
+// stopListening closes the listener. When it returns, conns holds all connections
+// that have been accepted.
+func (s *Server) stopListening() {
+	s.mu.Lock()
+	l, accepted := s.listener, s.accepted
+	s.mu.Unlock()
+	if l != nil {
+		_ = l.Close()
+		<-accepted
+	}
+}
+
 // connections returns the number of open connections.
 func (s *Server) connections() int {
 	s.mu.Lock()
@@ -74,11 +88,9 @@
 
 // Stop closes the listener and all connections.
 func (s *Server) Stop() {
+	s.stopListening()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.listener != nil {
-		_ = s.listener.Close()
-	}
 	for c := range s.conns {
 		c.close()
 	}
