Do not count a pause of the node itself as silence of its peers

Cause: a process that was paused for a second between a ping and its answer, for example by its CPU quota, closed the connection at its next check, before the answer in its socket was read: unsafe calls at work ended with 502, idempotent ones went elsewhere or ended with 502 for want of a repeat. minPongWait was meant to prevent that, but the pause counted towards it. Change: what lies between two checks beyond twice their interval is taken off the silence and the age of the ping.

--- a/peerlink/client.go
+++ b/peerlink/client.go
@@ -28,7 +28,7 @@
 	suspectAfter = 400 * time.Millisecond
 	closeAfter   = time.Second
 	// minPongWait is the minimum time from a ping to the conclusion that the peer
-	// does not respond, as it may be this process that was paused.
+	// does not respond. Pauses of this process do not count.
 	minPongWait = 200 * time.Millisecond
 )
 
@@ -112,12 +112,13 @@
 }
 
 // checkLiveness pings or closes a connection on which nothing is received, and
-// reports whether the peer is suspected to have failed.
-func (c *Client) checkLiveness(now time.Time) (suspect bool) {
+// reports whether the peer is suspected to have failed. pause is how long this
+// process has been paused since the last check.
+func (c *Client) checkLiveness(now time.Time, pause time.Duration) (suspect bool) {
 	c.mu.Lock()
 	s := c.session
 	c.mu.Unlock()
-	return s != nil && !s.ended() && s.checkLiveness(now)
+	return s != nil && !s.ended() && s.checkLiveness(now, pause)
 }
 
 // Retire closes the connection once no call is pending. The calls that are pending
@@ -318,8 +319,14 @@
 // checkLiveness pings the peer while calls are pending and nothing is received. If
 // the peer does not respond, it fails the reroutable calls and later closes the
 // session. It reports whether the peer is suspected to have failed.
-func (s *session) checkLiveness(now time.Time) (suspect bool) {
+func (s *session) checkLiveness(now time.Time, pause time.Duration) (suspect bool) {
 	s.mu.Lock()
+	if pause > 0 {
+		s.lastReceived = earlier(s.lastReceived.Add(pause), now)
+		if !s.pingedAt.IsZero() {
+			s.pingedAt = earlier(s.pingedAt.Add(pause), now)
+		}
+	}
 	silence := now.Sub(s.lastReceived)
 	pongOverdue := !s.pingedAt.IsZero() && now.Sub(s.pingedAt) >= minPongWait
 	hasPending := s.awaited > 0
@@ -341,6 +348,13 @@
 	return suspect
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // failReroutableCalls fails the calls that may be sent to another peer, and
 // cancels them at this peer in case it is still running.
 func (s *session) failReroutableCalls() {
--- a/peerlink/pool.go
+++ b/peerlink/pool.go
@@ -16,6 +16,8 @@
 	clients map[string]*Client
 	// retired holds removed clients that still have pending calls.
 	retired []*Client
+	// checkedAt is the time of the last Check.
+	checkedAt time.Time
 }
 
 // NewPool returns an empty pool. bodyMemory bounds the bodies of all replies
@@ -39,11 +41,21 @@
 // CheckInterval is the interval at which Check should be called.
 const CheckInterval = 50 * time.Millisecond
 
+// maxCheckGap is the longest time between two checks that counts as silence of the
+// peers. After a longer one this process was paused, and what the peers sent
+// meanwhile may not have been read.
+const maxCheckGap = 2 * CheckInterval
+
 // Check pings peers from which nothing is received while calls are pending, and
 // closes the connections of those that do not respond. It returns the addresses
 // of the peers that are suspected to have failed.
 func (p *Pool) Check(now time.Time) (suspects []string) {
 	p.mu.Lock()
+	pause := time.Duration(0)
+	if !p.checkedAt.IsZero() {
+		pause = max(0, now.Sub(p.checkedAt)-maxCheckGap)
+	}
+	p.checkedAt = now
 	p.retired = slices.DeleteFunc(p.retired, (*Client).ended)
 	clients := append(make([]*Client, 0, len(p.clients)+len(p.retired)), p.retired...)
 	for _, c := range p.clients {
@@ -51,7 +63,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range clients {
-		if c.checkLiveness(now) {
+		if c.checkLiveness(now, pause) {
 			suspects = append(suspects, c.address)
 		}
 	}
