Keep listening for sub-calls while calls wait for the target

Cause: a draining node closed its listener and idle connections as soon as no request was at its target. A call that waited for a slot, or was between the end of its wait and the target, was sent to the target later, which then could not make its sub-calls, so that the chain failed. Change: the listener is open as long as a call is admitted to the queue or at the target, within the same share of the grace period as before.

--- a/mesh/drain.go
+++ b/mesh/drain.go
@@ -49,8 +49,8 @@
 			n.gossip.UpdateMeta(n.memberMeta())
 		}
 		// The target needs connections for the sub-calls of requests that it is
-		// still processing.
-		if listening && elapsed >= readinessPropagation && (n.inFlight.count() == 0 || elapsed >= time.Duration(float64(grace)*listenGraceShare)) {
+		// processing or that wait for a slot.
+		if listening && elapsed >= readinessPropagation && (n.executing.Load() == 0 || elapsed >= time.Duration(float64(grace)*listenGraceShare)) {
 			listening = false
 			n.callers.StopListening()
 			go n.announceLeave(deadline)
--- /dev/null
+++ b/mesh/drain_test.go
@@ -0,0 +1,60 @@
+package mesh
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/goldcrestsail/goldcrestsail/gate"
+	"github.com/goldcrestsail/goldcrestsail/httpconn"
+	"github.com/goldcrestsail/goldcrestsail/message"
+	"github.com/goldcrestsail/goldcrestsail/registration"
+)
+
+const (
+	drainTestTimeout = 20 * time.Second
+	// drainTestGrace exceeds the time that any of these tests takes.
+	drainTestGrace = time.Minute
+)
+
+// startDrainTestNode starts a node with a target that has one slot. Nothing listens
+// at the target's address unless the test does.
+func startDrainTestNode(t *testing.T, targetAddress string) *Node {
+	n := New(Config{
+		Name: "a", Service: "s", TargetAddress: targetAddress, CallerAddress: "127.0.0.78:29480", PeerAddress: "127.0.0.78:29481", GossipAddress: "127.0.0.78:29482",
+		Headers:        httpconn.HeaderNames{RequestID: "X-Id", TimeoutMS: "X-Timeout", Seal: "X-Seal", NotRun: "X-Not-Run", TargetLoad: "X-Load", TargetID: "X-Target"},
+		ReportInterval: time.Hour, GracePeriod: drainTestGrace,
+	})
+	require.NoError(t, n.Start())
+	t.Cleanup(n.Close)
+	n.markDeparturesKnown()
+	require.NoError(t, n.ReportTarget(t.Context(), registration.Report{TargetID: "t", StartedAtMs: 1, Seq: 1, State: registration.Ready, Service: "s", Slots: 1}))
+	return n
+}
+
+func drainTestCall(timeout time.Duration) *message.Call {
+	return &message.Call{Service: "s", MaxWait: drainTestTimeout, Request: message.Request{ID: "q", Method: "GET", URI: "/", Host: "h", Deadline: time.Now().Add(timeout)}}
+}
+
+// Guards against a target that is given a waiting call after its node has closed the
+// listener for sub-calls: between two calls it may be idle.
+func TestDrainKeepsListeningWhileCallsWait(t *testing.T) {
+	n := startDrainTestNode(t, "127.0.0.78:1")
+	// Holds the only slot without a request at the target.
+	id, failure := n.gate.Acquire(t.Context(), gate.Request{Deadline: time.Now().Add(drainTestGrace)})
+	require.Nil(t, failure)
+	replied := make(chan *message.Reply, 1)
+	go func() { replied <- n.servePeer(t.Context(), drainTestCall(drainTestTimeout)) }()
+	require.Eventually(t, func() bool { stats, _ := n.gate.Stats(); return stats.Waiting == 1 }, drainTestTimeout, time.Millisecond)
+	drained := make(chan struct{})
+	go func() { n.Drain(); close(drained) }()
+	time.Sleep(readinessPropagation + 500*time.Millisecond)
+	c, err := net.Dial("tcp", n.config.CallerAddress)
+	require.NoError(t, err, "the target could not make sub-calls")
+	require.NoError(t, c.Close())
+	n.gate.Release(id, nil)
+	require.NotNil(t, <-replied)
+	<-drained
+}
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -33,6 +33,9 @@
 	if service := *n.service.Load(); call.Service != service {
 		return &message.Reply{Failure: kind.Newf(kind.Starting, "the target belongs to service %s", service)}
 	}
+	// A call is counted before the check, so that Drain does not miss it.
+	n.executing.Add(1)
+	defer n.executing.Add(-1)
 	if n.targetClosed.Load() {
 		return &message.Reply{Failure: kind.New(kind.Draining, "the node beside the target is about to end")}
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -93,6 +93,9 @@
 	grace atomic.Int64
 	// inProgress counts requests in progress, of callers and of peers.
 	inProgress atomic.Int64
+	// executing counts the calls that run at the local target or may still be sent
+	// to it.
+	executing atomic.Int64
 	cancel     context.CancelFunc
 	// lineLimiter limits the log lines about requests. answeredCount counts
 	// answered requests.
