Bound the calls that a draining node takes for its target by its end

Cause: a draining node takes calls of other nodes for 2.2 s, and starts those that wait for a slot later still, whatever their deadline. It ends 0.35 s before the end of its grace period: with 6 s of grace, a call with more than 3.45 s left could be at work then. The grace period of the entry node does not excuse that. Change: the target is told a deadline 200 ms before the end of its node, as for the requests of callers, and its answer still returns. Evidence: TestCallTakenWhileDrainingEndsBeforeNode fails before (the target is told 1m59.999s, its node ends in 59.6 s). A refusal shuts the target out at the entry node for three seconds, and with time-outs of 5 s targets would get no work from 0.65 s after SIGTERM on, although nearly all runs take a fraction of that.

--- a/mesh/drain_bound.go
+++ b/mesh/drain_bound.go
@@ -21,6 +21,16 @@
 	started, ends time.Time
 }
 
+// limit returns a deadline by which a target ends its work before a draining node
+// ends, and until when its answer is awaited; limited is false if the given deadline
+// is soon enough.
+func (d *drainTimes) limit(deadline time.Time) (sooner, answerBy time.Time, limited bool) {
+	if d == nil || !deadline.After(d.ends.Add(-targetEndMargin)) {
+		return deadline, deadline, false
+	}
+	return d.ends.Add(-targetEndMargin), d.ends.Add(-answerEndMargin), true
+}
+
 // bound limits a request of a caller to the time that a draining node has left.
 // Without it, requests that outlast the process end without an answer. The target is
 // told the sooner deadline, and ends by itself. It is not changed for a request that
@@ -31,18 +41,14 @@
 // it may not be finished: an unsafe one in any case, since it could not be repeated
 // after it had been cut short, an idempotent one if its latency objective does not fit.
 func (d *drainTimes) bound(q *request, arrived time.Time) *kind.Error {
-	if d == nil {
-		return nil
-	}
-	last := d.ends.Add(-targetEndMargin)
-	if !q.call.Deadline.After(last) {
+	last, answerBy, limited := d.limit(q.call.Deadline)
+	if !limited {
 		return nil
 	}
 	late := arrived.Sub(d.started) >= readinessPropagation
 	if left := last.Sub(arrived); q.root && late && (q.call.Unsafe || left < max(q.route.Objective, minTimeLeft)) {
 		return kind.Newf(kind.Draining, "the node ends in %d ms, before the request may have", left.Milliseconds())
 	}
-	q.call.Deadline = last
-	q.answerBy = d.ends.Add(-answerEndMargin)
+	q.call.Deadline, q.answerBy = last, answerBy
 	return nil
 }
--- a/mesh/drain_test.go
+++ b/mesh/drain_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
@@ -24,7 +27,7 @@
 func startDrainTestNode(t *testing.T, targetAddress string) *Node {
 	n := New(Config{
 		Name: "a", Service: "s", TargetAddress: targetAddress, CallerAddress: "127.0.0.78:29480", PeerAddress: "127.0.0.78:29481", GossipAddress: "127.0.0.78:29482",
-		Headers:        httpconn.HeaderNames{RequestID: "X-Id", TimeoutMS: "X-Timeout", Seal: "X-Seal", NotRun: "X-Not-Run", TargetLoad: "X-Load", TargetID: "X-Target"},
+		Headers:        httpconn.HeaderNames{RequestID: "X-Id", TimeoutMS: "X-Timeout", Seal: "X-Seal", NotRun: "X-Not-Run", TargetLoad: "X-Load", TargetID: "X-Target", ExpectedTarget: "X-Expected", CallerService: "X-Caller"},
 		ReportInterval: time.Hour, GracePeriod: drainTestGrace,
 	})
 	require.NoError(t, n.Start())
@@ -58,3 +61,25 @@
 	require.NotNil(t, <-replied)
 	<-drained
 }
+
+// Guards against calls of other nodes that are at work when a draining node ends: the
+// answer of the target is lost, and the entry node answers in its place.
+func TestCallTakenWhileDrainingEndsBeforeNode(t *testing.T) {
+	told := make(chan time.Duration, 1)
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		milliseconds, err := strconv.Atoi(r.Header.Get("X-Timeout"))
+		if err == nil {
+			told <- time.Duration(milliseconds) * time.Millisecond
+		}
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("X-Seal", "s")
+	}))
+	defer target.Close()
+	n := startDrainTestNode(t, target.Listener.Addr().String())
+	drained := make(chan struct{})
+	go func() { n.Drain(); close(drained) }()
+	require.Eventually(t, func() bool { return n.drainTimes.Load() != nil }, drainTestTimeout, time.Millisecond)
+	require.Nil(t, n.servePeer(t.Context(), drainTestCall(2*drainTestGrace)).Failure)
+	require.Less(t, <-told, time.Until(n.drainTimes.Load().ends))
+	<-drained
+}
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -59,10 +59,17 @@
 		n.gate.Release(id, nil)
 		return &message.Reply{Failure: failure}
 	}
-	entry := n.inFlight.add(time.Now(), call)
-	sent := *call
+	bounded := *call
+	deadline, answerBy, limited := n.drainTimes.Load().limit(call.Deadline)
+	if limited && time.Until(deadline) < minTimeLeft {
+		n.gate.Release(id, nil)
+		return &message.Reply{Failure: kind.New(kind.Draining, "the node beside the target ends before the call could")}
+	}
+	bounded.Deadline = deadline
+	entry := n.inFlight.add(time.Now(), &bounded)
+	sent := bounded
 	sent.Deadline = entry.deadline
-	response, failure := n.sendToTarget(ctx, &sent, targetID)
+	response, failure := n.sendToTarget(ctx, &sent, targetID, answerBy.Add(targetAnswerMargin))
 	ownTime, totalTime := n.inFlight.remove(time.Now(), entry)
 	n.metrics.targetTime.Update(totalTime.Seconds())
 	n.gate.Release(id, limiterSample(response, failure, ownTime, totalTime))
@@ -77,13 +84,13 @@
 
 // sendToTarget sends a request to the target. An idempotent request is canceled
 // when its caller disconnects; an unsafe one continues, since it may already
-// have had an effect.
-func (n *Node) sendToTarget(ctx context.Context, call *message.Call, targetID string) (*httpconn.TargetResponse, *kind.Error) {
+// have had an effect. The response is awaited until answerBy.
+func (n *Node) sendToTarget(ctx context.Context, call *message.Call, targetID string, answerBy time.Time) (*httpconn.TargetResponse, *kind.Error) {
 	parent := ctx
 	if call.Unsafe {
 		parent = context.WithoutCancel(ctx)
 	}
-	sendCtx, cancel := context.WithDeadline(parent, call.Deadline.Add(targetAnswerMargin))
+	sendCtx, cancel := context.WithDeadline(parent, answerBy)
 	defer cancel()
 	response, failure := n.client.Do(sendCtx, call, targetID)
 	if failure != nil {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -98,7 +98,7 @@
 	// executing counts the calls that run at the local target or may still be sent
 	// to it.
 	executing atomic.Int64
-	cancel     context.CancelFunc
+	cancel    context.CancelFunc
 	// lineLimiter limits the log lines about requests. answeredCount counts
 	// answered requests.
 	lineLimiter        *nodelog.Limiter
