Save a departure that a peer tells

Targets would see: requests after their departure has been acknowledged (DRAIN), after a second restart: the record says that it is complete, and lacks a departure that gossip told after it had been written. Change: a departure that was not known plans a write of the record. Broadcasts wait until gossip has started, whatever their kind. Evidence: TestDepartureToldLateIsSaved fails before.

--- a/mesh/gossip_delegate.go
+++ b/mesh/gossip_delegate.go
@@ -61,11 +61,11 @@
 
 // BroadcastReceived implements gossip.Delegate.
 func (d *gossipDelegate) BroadcastReceived(b membership.Broadcast) {
+	<-d.node.gossipStarted
 	switch b.Kind {
 	case departureBroadcastKind:
 		d.node.receiveDeparture(b)
 	case timelineBroadcastKind:
-		<-d.node.gossipStarted
 		d.node.receiveTimeline(b)
 	}
 }
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -70,13 +70,15 @@
 	return t.tracker.MarkLeft(time.Now(), targetID, born)
 }
 
-// addDepartures applies departures that were restored or received from a peer.
-func (t *target) addDepartures(departures ...registration.Departure) {
+// addDepartures applies departures that were restored or received from a peer, and
+// reports whether one of them was not known.
+func (t *target) addDepartures(departures ...registration.Departure) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, d := range departures {
-		t.tracker.ApplyDeparture(d)
+		changed = t.tracker.ApplyDeparture(d) || changed
 	}
+	return changed
 }
 
 // setDeparturesKnown allows work to the target.
--- a/mesh/target_reports.go
+++ b/mesh/target_reports.go
@@ -87,7 +87,15 @@
 	if m.Instance != "" && m.Instance != n.config.Name {
 		return
 	}
-	n.target.addDepartures(m.Departure)
+	n.learnDepartures(m.Departure)
+}
+
+// learnDepartures applies departures that peers know, and plans a write of the record
+// if one of them is new.
+func (n *Node) learnDepartures(departures ...registration.Departure) {
+	if n.target.addDepartures(departures...) {
+		n.changeRecord()
+	}
 	n.applyTargetState(time.Now())
 }
 
--- a/registration/tracker.go
+++ b/registration/tracker.go
@@ -71,29 +71,33 @@
 }
 
 // ApplyDeparture stores a departure and applies it to the current target. The
-// departure can come from another source than the target's reports.
-func (t *Tracker) ApplyDeparture(d Departure) {
-	t.storeDeparture(d)
+// departure can come from another source than the target's reports. It reports
+// whether the stored departures have changed.
+func (t *Tracker) ApplyDeparture(d Departure) bool {
+	changed := t.storeDeparture(d)
 	if c := &t.current; c.State == Ready && t.hasDeparted(*c) {
 		c.State = d.State
 	}
+	return changed
 }
 
 // storeDeparture adds a departure to the stored ones, or merges it with that of the
-// same process.
-func (t *Tracker) storeDeparture(d Departure) {
+// same process, and reports whether that changes them.
+func (t *Tracker) storeDeparture(d Departure) (changed bool) {
 	for i := range t.departures {
 		known := &t.departures[i]
 		if known.TargetID == d.TargetID && known.StartedAtMs == d.StartedAtMs {
+			before := *known
 			known.State, known.Seq = max(known.State, d.State), max(known.Seq, d.Seq)
 			known.AnnouncedAtMs = max(known.AnnouncedAtMs, d.AnnouncedAtMs)
-			return
+			return *known != before
 		}
 	}
 	if len(t.departures) >= maxDepartures {
 		t.departures = t.departures[1:]
 	}
 	t.departures = append(t.departures, d)
+	return true
 }
 
 // hasDeparted reports whether the process that sent r has announced a departure.
