Fetch an announced configuration until it arrives

Callers would see: a route that has been added and is not served, on a node that starts between a restore of the store and the repeated write of the operator (CONFIG). Cause: gossip tells of a version once, and the one fetch that follows may fail, or be dropped as another one is in progress. The store's own read made up for that; a restored store does not have the version. Change: a node that has not got the highest announced version asks a random present peer twice a second. Evidence: TestAnnouncedConfigIsFetchedUntilItArrives fails with the repeat taken out ('Condition never satisfied' after 20 s).

--- a/mesh/gossip_delegate.go
+++ b/mesh/gossip_delegate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -12,6 +13,9 @@
 // configFetchTimeout bounds the time to fetch the configuration from a peer.
 const configFetchTimeout = time.Second
 
+// configFetchInterval is how often a fetch that has failed is repeated.
+const configFetchInterval = 500 * time.Millisecond
+
 // gossipDelegate handles events of the gossip transport.
 type gossipDelegate struct{ node *Node }
 
@@ -38,11 +42,38 @@
 	return count
 }
 
-// ConfigOffsetSeen implements gossip.Delegate. It fetches a newer configuration
-// from the peer that has it, so that updates also spread while the store is
-// unavailable.
+// ConfigOffsetSeen implements gossip.Delegate.
 func (d *gossipDelegate) ConfigOffsetSeen(peer netip.AddrPort, offset uint64) {
-	n := d.node
+	d.node.fetchConfig(peer, offset)
+}
+
+// fetchAnnouncedConfig fetches the highest version that gossip has announced from a
+// random peer, if the node does not have it: the fetch from the announcing peer may
+// have failed, and a store that has been restored may not have the version.
+func (n *Node) fetchAnnouncedConfig() {
+	version, _ := n.gossip.HighestConfigOffset()
+	if version <= n.configuration.version() {
+		return
+	}
+	if peers := n.presentPeers(); len(peers) > 0 {
+		n.fetchConfig(peers[rand.IntN(len(peers))], version)
+	}
+}
+
+// presentPeers returns the peer addresses of the other nodes that are present.
+func (n *Node) presentPeers() []netip.AddrPort {
+	var peers []netip.AddrPort
+	for _, m := range n.gossip.Members() {
+		if m.State.Present() && m.ID != n.id && m.Meta.PeerAddr.IsValid() {
+			peers = append(peers, m.Meta.PeerAddr)
+		}
+	}
+	return peers
+}
+
+// fetchConfig fetches a configuration from the peer that has it if it is newer than
+// the one in force, so that updates also spread while the store is unavailable.
+func (n *Node) fetchConfig(peer netip.AddrPort, offset uint64) {
 	if offset <= n.configuration.version() || !n.fetchingConfig.CompareAndSwap(false, true) {
 		return
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -233,10 +233,14 @@
 func (n *Node) runPeriodicTasks(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	fetchTicker := time.NewTicker(configFetchInterval)
+	defer fetchTicker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-fetchTicker.C:
+			n.fetchAnnouncedConfig()
 		case now := <-ticker.C:
 			n.checkPeers(now)
 			n.client.PruneIdle(now)
