Ask peers for the departures that a restored store may have lost

Targets would see: requests after their departure has been acknowledged (DRAIN), in large deployments: a restarted node waits 1.5 s for the departures that its record may lack, and gossip takes longer. Cause: departures spread to a new member by the exchange of digests, every five seconds within the gossip budget. Peers answer from the broadcasts that they hold. Evidence: TestStartedNodeLearnsDeparturesFromPeers.

--- a/gossip/transport.go
+++ b/gossip/transport.go
@@ -201,6 +201,14 @@
 	t.handle(membership.LocalBroadcast{Broadcast: b})
 }
 
+// Broadcasts returns the application messages that have not expired, in no particular
+// order.
+func (t *Transport) Broadcasts() []membership.Broadcast {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.node.Broadcasts()
+}
+
 // Members returns a copy of the member table, including this process.
 func (t *Transport) Members() []membership.Member {
 	t.mu.Lock()
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -161,7 +161,7 @@
 			n.log.Warn("request rejected as malformed", "remote", remote, "error", err)
 		},
 	}
-	n.peerServer = &peerlink.Server{Handle: n.servePeer, Config: n.configuration.encodedConfig, BodyMemory: bodyMemory, WatchConfig: n.serveFollower}
+	n.peerServer = &peerlink.Server{Handle: n.servePeer, Config: n.configuration.encodedConfig, BodyMemory: bodyMemory, WatchConfig: n.serveFollower, Departures: n.encodedDeparturesOf}
 	n.metrics = newNodeMetrics(n)
 	return n
 }
--- a/mesh/recovery.go
+++ b/mesh/recovery.go
@@ -63,6 +63,12 @@
 		timeout.Stop()
 	} else if !n.target.departuresAreKnown() {
 		timeout.Reset(departuresTimeout)
+		go func() {
+			if n.askForDepartures(ctx, max(len(restored.seeds), 1)) && timeout.Stop() {
+				n.markDeparturesKnown()
+				n.changeRecord()
+			}
+		}()
 	}
 	go n.keepRecordWritten(ctx)
 	for range int(recordsRereadDelay / rejoinInterval) {
--- a/peerlink/client.go
+++ b/peerlink/client.go
@@ -111,6 +111,20 @@
 	return f.body, nil
 }
 
+// Departures returns the encoded departures that the peer knows of an instance. A peer
+// of an earlier version does not respond: ctx bounds the wait.
+func (c *Client) Departures(ctx context.Context, instance string) ([]byte, *kind.Error) {
+	s, failure := c.connect(ctx)
+	if failure != nil {
+		return nil, failure
+	}
+	f, failure := s.roundTrip(ctx, frame{kind: frameDeparturesRequest, body: []byte(instance)})
+	if failure != nil {
+		return nil, failure
+	}
+	return f.body, nil
+}
+
 // checkLiveness pings or closes a connection on which nothing is received, and
 // reports whether the peer is suspected to have failed. pause is how long this
 // process has been paused since the last check.
--- a/peerlink/frame.go
+++ b/peerlink/frame.go
@@ -27,6 +27,10 @@
 	// frameGoAway tells the client that the server is about to close the connection
 	// and serves no further calls.
 	frameGoAway
+	// frameDeparturesRequest holds the name of an instance, frameDepartures the
+	// departures that the peer knows of it.
+	frameDeparturesRequest
+	frameDepartures
 )
 
 const (
--- a/peerlink/server.go
+++ b/peerlink/server.go
@@ -18,6 +18,9 @@
 	Handle func(ctx context.Context, c *message.Call) *message.Reply
 	// Config returns the encoded configuration in force, or nil.
 	Config func() []byte
+	// Departures returns the encoded departures that this node knows of an instance.
+	// It may be nil.
+	Departures func(instance string) []byte
 	// WatchConfig waits for a configuration newer than the given version, as long as
 	// a follower is held. It may be nil.
 	WatchConfig func(ctx context.Context, version uint64) WatchResult
@@ -159,6 +162,12 @@
 				defer cancel()
 				c.send(s.serveWatch(ctx, f))
 			}()
+		case frameDeparturesRequest:
+			response := frame{kind: frameDepartures, id: f.id}
+			if s.Departures != nil {
+				response.body = s.Departures(string(f.body))
+			}
+			c.send(response)
 		case frameConfigRequest:
 			c.send(frame{kind: frameConfig, id: f.id, body: s.Config()})
 		}
