Refuse every late request that may outlast a draining node

Cause: took idempotent requests late if their latency objective fitted, and relied on the target to end at the deadline that it is told. A target may answer later. The node beside it limited a deadline that was limited already to a shorter wait. Change: after the time in which callers notice the drain, a request that begins a chain and may outlast the process is refused, whatever its kind. A drain that ends by force gives peers 150 ms, so that replies that are ready and the news of the end reach them. Found by the soak and in review.

--- a/mesh/drain.go
+++ b/mesh/drain.go
@@ -24,6 +24,10 @@
 	// peerDrainTime bounds the time in which the peers close their connections after
 	// they have been told to. It exceeds the round-trip time between any two regions.
 	peerDrainTime = 300 * time.Millisecond
+	// forcedPeerDrainTime replaces peerDrainTime at the end of the grace period. It
+	// lies within exitMargin, and lets ready replies and the news of the end reach the
+	// peers.
+	forcedPeerDrainTime = 150 * time.Millisecond
 	// drainPollInterval is how often Drain checks whether work is still in
 	// progress.
 	drainPollInterval = 20 * time.Millisecond
@@ -64,7 +68,7 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
-	n.peerServer.Drain(min(peerDrainTime, time.Until(deadline)))
+	n.peerServer.Drain(max(forcedPeerDrainTime, min(peerDrainTime, time.Until(deadline))))
 	n.log.Info("node stopped", "in_progress", n.inProgress.Load(), "connections", n.callers.Connections(), "after_ms", time.Since(started).Milliseconds())
 	n.Close()
 }
--- a/mesh/drain_bound.go
+++ b/mesh/drain_bound.go
@@ -23,12 +23,16 @@
 
 // limit returns a deadline by which a target ends its work before a draining node
 // ends, and until when its answer is awaited; limited is false if the given deadline
-// is soon enough.
+// is soon enough. A deadline that has been limited stays as it is.
 func (d *drainTimes) limit(deadline time.Time) (sooner, answerBy time.Time, limited bool) {
-	if d == nil || !deadline.After(d.ends.Add(-targetEndMargin)) {
+	if d == nil {
 		return deadline, deadline, false
 	}
-	return d.ends.Add(-targetEndMargin), d.ends.Add(-answerEndMargin), true
+	last := d.ends.Add(-targetEndMargin)
+	if deadline.Before(last) {
+		return deadline, deadline, false
+	}
+	return last, d.ends.Add(-answerEndMargin), true
 }
 
 // bound limits a request of a caller to the time that a draining node has left.
@@ -38,16 +42,14 @@
 //
 // Callers that have not noticed the drain yet send requests until
 // readinessPropagation has passed. A request that begins a chain later is refused if
-// it may not be finished: an unsafe one in any case, since it could not be repeated
-// after it had been cut short, an idempotent one if its latency objective does not fit.
+// it may outlast the process: a target may not end in time by itself.
 func (d *drainTimes) bound(q *request, arrived time.Time) *kind.Error {
 	last, answerBy, limited := d.limit(q.call.Deadline)
 	if !limited {
 		return nil
 	}
-	late := arrived.Sub(d.started) >= readinessPropagation
-	if left := last.Sub(arrived); q.root && late && (q.call.Unsafe || left < max(q.route.Objective, minTimeLeft)) {
-		return kind.Newf(kind.Draining, "the node ends in %d ms, before the request may have", left.Milliseconds())
+	if q.root && arrived.Sub(d.started) >= readinessPropagation {
+		return kind.Newf(kind.Draining, "the node ends in %d ms, before the request may have", last.Sub(arrived).Milliseconds())
 	}
 	q.call.Deadline, q.answerBy = last, answerBy
 	return nil
