Log the ends of a target's process and the fingerprint of each request

Logs named each attempt of a client by its ID only, which is new for each attempt, and the end of a target showed as one line answer-truncated for each request at work, the same as a lost answer or a reset connection.

Each line about a request now holds the fingerprint of its content. When a connection breaks under a request, the node dials the target once: refused means that its process has ended. A report of a new process says so too, for the runs that broke last. The line target's process ended names the requests at work; a counter goes with it. No decision depends on it yet.

An idle connection that is opened without a request now counts as idle from the dial on; there was none before.

--- a/httpconn/target.go
+++ b/httpconn/target.go
@@ -115,7 +115,6 @@
 		t.mu.Lock()
 		n := len(t.idle)
 		if n == 0 {
-			t.dials++
 			t.mu.Unlock()
 			break
 		}
@@ -127,18 +126,39 @@
 		}
 		conn.closeWithError(net.ErrClosed)
 	}
-	dialer := net.Dialer{Timeout: t.cfg.DialTimeout, KeepAlive: -1}
-	nc, err := dialer.DialContext(ctx, "tcp", t.cfg.Address)
+	conn, err := t.dial(ctx)
 	if err != nil {
 		return nil, kind.Newf(kind.DialFailed, "target %s: %v", t.cfg.Address, err)
 	}
-	conn := newTargetConn(nc, &t.cfg)
 	if !conn.startRequest(p) {
 		return nil, kind.Newf(kind.DialFailed, "target %s closed a new connection", t.cfg.Address)
 	}
 	return conn, nil
 }
 
+func (t *Target) dial(ctx context.Context) (*targetConn, error) {
+	t.mu.Lock()
+	t.dials++
+	t.mu.Unlock()
+	dialer := net.Dialer{Timeout: t.cfg.DialTimeout, KeepAlive: -1}
+	nc, err := dialer.DialContext(ctx, "tcp", t.cfg.Address)
+	if err != nil {
+		return nil, err
+	}
+	return newTargetConn(nc, &t.cfg), nil
+}
+
+// Probe opens a connection to the target, which the next request uses, and returns
+// the error of the dialer if that fails.
+func (t *Target) Probe(ctx context.Context) error {
+	conn, err := t.dial(ctx)
+	if err != nil {
+		return err
+	}
+	t.release(conn)
+	return nil
+}
+
 func (t *Target) release(conn *targetConn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/httpconn/target_conn.go
+++ b/httpconn/target_conn.go
@@ -37,7 +37,7 @@
 	// current is the request in progress, nil when the connection is idle.
 	current *pendingRequest
 	closed  bool
-	// idleSince is the time of the last response. keepAlive is how long the target
+	// idleSince is the time of the last response, or of the dial. keepAlive is how long the target
 	// keeps an idle connection open, 0 if the target does not state it.
 	idleSince time.Time
 	keepAlive time.Duration
@@ -66,7 +66,7 @@
 
 func newTargetConn(nc net.Conn, cfg *TargetConfig) *targetConn {
 	limited := &io.LimitedReader{R: nc, N: math.MaxInt64}
-	c := &targetConn{nc: nc, limitedReader: limited, br: bufio.NewReaderSize(limited, readBufferBytes), cfg: cfg}
+	c := &targetConn{nc: nc, limitedReader: limited, br: bufio.NewReaderSize(limited, readBufferBytes), cfg: cfg, idleSince: time.Now()}
 	go c.readResponses()
 	return c
 }
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -20,6 +20,7 @@
 func (n *Node) servePeer(ctx context.Context, call *message.Call) *message.Reply {
 	n.inProgress.Add(1)
 	defer n.inProgress.Add(-1)
+	call.Fingerprint = fingerprintOf(&call.Request)
 	return n.execute(ctx, call)
 }
 
@@ -70,6 +71,9 @@
 	sent := bounded
 	sent.Deadline = entry.deadline
 	response, failure := n.sendToTarget(ctx, &sent, targetID, answerBy.Add(targetAnswerMargin))
+	if failure != nil && failure.Kind == kind.AnswerTruncated {
+		n.runBroke(call)
+	}
 	ownTime, totalTime := n.inFlight.remove(time.Now(), entry)
 	n.metrics.targetTime.Update(totalTime.Seconds())
 	n.gate.Release(id, limiterSample(response, failure, ownTime, totalTime))
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -16,6 +16,7 @@
 	shedEarly, retries, attempts       *metrics.Counter
 	malformed, reportsIgnored          *metrics.Counter
 	storeRestores                      *metrics.Counter
+	targetEnds                         *metrics.Counter
 	attemptTime, targetTime, queueTime *metrics.Histogram
 }
 
@@ -29,6 +30,7 @@
 		malformed:      set.NewCounter("goldcrestsail_malformed_total"),
 		reportsIgnored: set.NewCounter("goldcrestsail_reports_ignored_total"),
 		storeRestores:  set.NewCounter("goldcrestsail_store_restores_total"),
+		targetEnds:     set.NewCounter("goldcrestsail_target_ends_total"),
 		attemptTime:    set.NewHistogram("goldcrestsail_hop_seconds"),
 		targetTime:     set.NewHistogram("goldcrestsail_target_seconds"),
 		queueTime:      set.NewHistogram("goldcrestsail_queue_seconds"),
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -68,6 +68,7 @@
 	client        *httpconn.Target
 	gate          *gate.Gate
 	inFlight      *inFlight
+	ends          targetEnds
 	directory     *directory.Directory
 	peers         *peerlink.Pool
 	budgets       *budgets
--- a/mesh/running.go
+++ b/mesh/running.go
@@ -159,6 +159,18 @@
 	return visited, entry.dependencyFailed
 }
 
+// startedBefore returns the requests at the target that were sent before t.
+func (r *inFlight) startedBefore(t time.Time) (calls []*message.Call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for entry := range r.runs {
+		if entry.started.Before(t) {
+			calls = append(calls, entry.call)
+		}
+	}
+	return calls
+}
+
 // count returns the number of requests at the target.
 func (r *inFlight) count() int {
 	r.mu.Lock()
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -82,7 +82,7 @@
 
 // classify finds the route of a request and, for a sub-call, its parent.
 func (n *Node) classify(r *message.Request) (*request, *kind.Error) {
-	q := &request{call: &message.Call{Request: *r, CallerService: *n.service.Load()}}
+	q := &request{call: &message.Call{Request: *r, CallerService: *n.service.Load(), Fingerprint: fingerprintOf(r)}}
 	table := n.configuration.current()
 	if table == nil {
 		return q, kind.New(kind.Starting, "no configuration is known yet")
--- /dev/null
+++ b/mesh/target_end.go
@@ -0,0 +1,130 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"github.com/goldcrestsail/goldcrestsail/message"
+	"github.com/goldcrestsail/goldcrestsail/quarantine"
+	"github.com/goldcrestsail/goldcrestsail/registration"
+)
+
+const (
+	// breakSettleTime is the delay between the break of a connection and the dial
+	// that tells whether the process of the target has ended. The other connections
+	// of the process break in that time.
+	breakSettleTime = 5 * time.Millisecond
+	// endProbeTimeout bounds that dial, so that the answer to the caller is not held
+	// up. The target is on the same instance.
+	endProbeTimeout = 100 * time.Millisecond
+	// maxLoggedRuns bounds the requests named in the log line about an end.
+	maxLoggedRuns = 16
+)
+
+// targetEnds detects ends of the target's process that the target has not announced.
+// It is safe for concurrent use.
+type targetEnds struct {
+	mu     sync.Mutex
+	broken quarantine.BrokenRuns
+	probe  singleflight.Group
+}
+
+func (e *targetEnds) add(r *quarantine.BrokenRun) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.At = time.Now()
+	e.broken.Add(r)
+}
+
+func (e *targetEnds) contains(r *quarantine.BrokenRun) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.broken.Contains(r)
+}
+
+func (e *targetEnds) takeLast() []*quarantine.BrokenRun {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.broken.TakeLast(time.Now())
+}
+
+// fingerprintOf returns the fingerprint of a request.
+func fingerprintOf(r *message.Request) uint64 {
+	return uint64(quarantine.FingerprintOf(r.Method, r.Host, r.URI, r.Body))
+}
+
+// formatFingerprint returns the form of a fingerprint in logs and dumps.
+func formatFingerprint(f uint64) string { return fmt.Sprintf("%016x", f) }
+
+// runBroke records that the connection on which the target ran a call ended before
+// its response was complete, and reports whether the process of the target has ended.
+// If it has, nothing listens at its address. Otherwise only the connection or the
+// response was lost, or the next process has started already; its report tells.
+func (n *Node) runBroke(call *message.Call) bool {
+	r := &quarantine.BrokenRun{Fingerprint: quarantine.Fingerprint(call.Fingerprint), RequestID: call.ID}
+	n.ends.add(r)
+	for {
+		ended, _, _ := n.ends.probe.Do("", func() (any, error) { return n.probeTargetEnd(), nil })
+		if !ended.(bool) {
+			return false
+		}
+		// A probe that began before the run was added may have left it out.
+		if !n.ends.contains(r) {
+			return true
+		}
+	}
+}
+
+// probeTargetEnd reports whether the process of the target has ended without notice,
+// and handles that end.
+func (n *Node) probeTargetEnd() bool {
+	time.Sleep(breakSettleTime)
+	ctx, cancel := context.WithTimeout(context.Background(), endProbeTimeout)
+	defer cancel()
+	if err := n.client.Probe(ctx); !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	report := n.target.report(time.Now())
+	runs := n.ends.takeLast()
+	if report.State == registration.Draining || report.State == registration.Left {
+		return false
+	}
+	n.handleTargetEnd(report, "connection refused", runs)
+	return true
+}
+
+// noteNewProcess handles the end of the previous process of the target if a report of
+// a new one is the first sign of it.
+func (n *Node) noteNewProcess(before, after registration.Report) {
+	if before.TargetID == "" || before.State == registration.Draining || before.State == registration.Left {
+		return
+	}
+	if before.TargetID == after.TargetID && before.StartedAtMs == after.StartedAtMs {
+		return
+	}
+	runs := n.ends.takeLast()
+	for _, call := range n.inFlight.startedBefore(time.UnixMilli(after.StartedAtMs)) {
+		runs = append(runs, &quarantine.BrokenRun{Fingerprint: quarantine.Fingerprint(call.Fingerprint), RequestID: call.ID})
+	}
+	if len(runs) > 0 {
+		n.handleTargetEnd(before, "report of a new process", runs)
+	}
+}
+
+// handleTargetEnd records that the process of the target ended while runs were at
+// work.
+func (n *Node) handleTargetEnd(ended registration.Report, evidence string, runs []*quarantine.BrokenRun) {
+	n.metrics.targetEnds.Inc()
+	var requests []string
+	for _, r := range runs[:min(len(runs), maxLoggedRuns)] {
+		requests = append(requests, r.RequestID+" "+formatFingerprint(uint64(r.Fingerprint)))
+	}
+	n.log.Warn("target's process ended", "target", ended.TargetID, "born", ended.StartedAtMs, "evidence", evidence,
+		"at_work", len(runs), "requests", requests)
+}
--- a/mesh/target_reports.go
+++ b/mesh/target_reports.go
@@ -42,6 +42,7 @@
 	if after.Service != *n.service.Load() {
 		n.service.Store(&after.Service)
 	}
+	n.noteNewProcess(before, after)
 	if before.State != after.State || before.TargetID != after.TargetID || before.StartedAtMs != after.StartedAtMs {
 		n.log.Info("target state changed", "target", after.TargetID, "born", after.StartedAtMs, "seq", after.Seq,
 			"state", after.State.String(), "before", before.State.String(), "slots", after.Slots, "cold_for", after.ColdStartRemaining.String())
--- a/message/call.go
+++ b/message/call.go
@@ -19,6 +19,9 @@
 	Admitted bool
 	// Repeat reports that this is a retry of a request that a target refused.
 	Repeat bool
+	// Fingerprint identifies the request by its content. Each node computes it; it
+	// is not sent.
+	Fingerprint uint64
 	// MaxWait limits the queueing time at the target's node; 0 applies that
 	// node's own limit.
 	MaxWait time.Duration
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -1,5 +1,19 @@
 package quarantine
 
-// Fingerprint identifies a request by a hash of its service, method, path and
-// body. It does not cover the idempotency key.
+import "github.com/cespare/xxhash/v2"
+
+// Fingerprint identifies a request by a hash of its content. It does not cover the
+// idempotency key or the ID of an attempt, which are new for each attempt.
 type Fingerprint uint64
+
+// FingerprintOf returns the fingerprint of a request. It does not cover the caller,
+// since the same request ends a target whoever sends it.
+func FingerprintOf(method, host, uri string, body []byte) Fingerprint {
+	hash := xxhash.New()
+	for _, part := range [...]string{method, host, uri} {
+		_, _ = hash.WriteString(part)
+		_, _ = hash.Write([]byte{0})
+	}
+	_, _ = hash.Write(body)
+	return Fingerprint(hash.Sum64())
+}
