Quarantine a request after crashes on trial

Package quarantine knew one rule: each request at work at a crash is a suspect that runs alone, and a second crash quarantines it for an hour. In mesh that would refuse innocent requests for good: targets that end together blame each request that was at work at two of them, a target of 300 slots leaves 300 suspects that would run one by one, and requests of many callers are alike.

With RequireTrial a request with one crash runs beside other suspects, so that the second crash leaves those that were at work at both; from then on it runs alone among suspects. Two crashes on trial, or four more than a second apart, quarantine it for 10 minutes, and each crash on trial after that for four times as long. A completion within 10 s before a crash, at any node that has seen one, clears a request.

Package node keeps its rule.

--- a/quarantine/broken_runs.go
+++ b/quarantine/broken_runs.go
@@ -21,9 +21,7 @@
 type BrokenRun struct {
 	Fingerprint Fingerprint
 	RequestID   string
-	// OnTrial reports that the request was on trial; see Table.BeginTrial.
-	OnTrial bool
-	At      time.Time
+	At          time.Time
 }
 
 // BrokenRuns holds broken runs until it is known whether the process of the target
--- a/quarantine/entry.go
+++ b/quarantine/entry.go
@@ -32,6 +32,9 @@
 	At, Expiry time.Time
 	// Crashed holds requests that were in flight when a target's process died.
 	Crashed []Fingerprint
+	// OnTrial reports that the one request of Crashed was on trial, and no other
+	// suspect was running.
+	OnTrial bool
 	// Completed holds suspects that completed without a crash.
 	Completed []Fingerprint
 }
@@ -39,17 +42,17 @@
 // ID returns the broadcast ID of the entry.
 func (e Entry) ID() string { return fmt.Sprintf("%016x-%d", e.Reporter, e.Seq) }
 
-// valid reports whether e has a reporter, at least one fingerprint, and no more
-// fingerprints or longer lifetime than allowed.
+// valid reports whether e has a reporter, at least one fingerprint, one crashed request
+// if that was on trial, and no more fingerprints or longer lifetime than allowed.
 func (e Entry) valid() bool {
 	n := len(e.Crashed) + len(e.Completed)
 	return e.Reporter != 0 && n > 0 && n <= MaxEntryFingerprints &&
-		e.Expiry.After(e.At) && e.Expiry.Sub(e.At) <= MaxEntryTTL
+		e.Expiry.After(e.At) && e.Expiry.Sub(e.At) <= MaxEntryTTL && (!e.OnTrial || len(e.Crashed) == 1)
 }
 
 // Encode returns e as an encoded wire.Report.
 func (e Entry) Encode() []byte {
-	w := &wire.Report{Reporter: e.Reporter, Seq: e.Seq, AtMs: e.At.UnixMilli(), ExpiryMs: e.Expiry.UnixMilli()}
+	w := &wire.Report{Reporter: e.Reporter, Seq: e.Seq, AtMs: e.At.UnixMilli(), ExpiryMs: e.Expiry.UnixMilli(), OnTrial: e.OnTrial}
 	for _, f := range e.Crashed {
 		w.Crashed = append(w.Crashed, uint64(f))
 	}
@@ -71,7 +74,7 @@
 	if err := (proto.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(b, &w); err != nil {
 		return Entry{}, kind.New(kind.Malformed, "quarantine entry is not a protobuf message of the expected type")
 	}
-	e := Entry{Reporter: w.Reporter, Seq: w.Seq, At: time.UnixMilli(w.AtMs), Expiry: time.UnixMilli(w.ExpiryMs)}
+	e := Entry{Reporter: w.Reporter, Seq: w.Seq, At: time.UnixMilli(w.AtMs), Expiry: time.UnixMilli(w.ExpiryMs), OnTrial: w.OnTrial}
 	// Without this bound, differences between times could overflow.
 	const maxUnixMillis = 1 << 52
 	if w.AtMs < 0 || w.AtMs > maxUnixMillis || w.ExpiryMs < 0 || w.ExpiryMs > maxUnixMillis {
--- a/quarantine/fingerprint_status.go
+++ b/quarantine/fingerprint_status.go
@@ -20,10 +20,11 @@
 func (t *Table) List(now time.Time) []FingerprintStatus {
 	var out []FingerprintStatus
 	for f, r := range t.records {
-		if r.state() == Clear || !r.expiry.After(now) {
+		v := t.Check(now, f)
+		if v.State == Clear {
 			continue
 		}
-		l := FingerprintStatus{Fingerprint: f, State: r.state(), Expiry: r.expiry}
+		l := FingerprintStatus{Fingerprint: f, State: v.State, Expiry: r.expiry}
 		for _, c := range r.crashes {
 			l.Crashes = append(l.Crashes, c.at)
 		}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -10,10 +10,15 @@
 	cfg     Config
 	seq     uint64
 	records map[Fingerprint]*record
+	// completions is used only with Config.CompletionWindow.
+	completions completions
 	// trialFingerprint is the suspect running on this node's target, if trialUntil
 	// is set.
 	trialFingerprint Fingerprint
 	trialUntil       time.Time
+	// besideOthers counts the suspects that run on this node's target and are not on
+	// trial.
+	besideOthers int
 	// pendingCompletions are to be published at publishAt.
 	pendingCompletions []Fingerprint
 	publishAt          time.Time
@@ -30,32 +35,50 @@
 // Crashed records that the process of this node's target died while the requests
 // inFlight were running. If the request on trial is among them, the crash is not
 // attributed to other suspects: they have been running since before they became
-// suspect, and the request on trial is the likelier cause.
+// suspect, and the request on trial is the likelier cause. With Config.RequireTrial
+// the crash is attributed to all, and counts as one on trial only without other
+// suspects.
 func (t *Table) Crashed(now time.Time, inFlight []Fingerprint) []Effect {
 	now = now.Truncate(time.Millisecond)
 	trialInFlight := t.trialUntil.After(now) && slices.Contains(inFlight, t.trialFingerprint)
 	t.trialUntil = time.Time{}
 	attributed := make([]Fingerprint, 0, len(inFlight))
+	otherSuspects := false
 	for _, f := range inFlight {
-		if trialInFlight && f != t.trialFingerprint && t.Check(now, f).State != Clear || slices.Contains(attributed, f) {
+		if slices.Contains(attributed, f) || t.completedWithin(f, now) {
 			continue
 		}
+		if trialInFlight && f != t.trialFingerprint && t.Check(now, f).State != Clear {
+			otherSuspects = true
+			if !t.cfg.RequireTrial {
+				continue
+			}
+		}
 		attributed = append(attributed, f)
 	}
-	return t.publishEntries(now, attributed, nil)
+	if !t.cfg.RequireTrial || !trialInFlight || otherSuspects {
+		return t.publishEntries(now, attributed, nil)
+	}
+	others := slices.DeleteFunc(attributed, func(f Fingerprint) bool { return f == t.trialFingerprint })
+	proven := Entry{At: now, Expiry: now.Add(MaxEntryTTL), Crashed: []Fingerprint{t.trialFingerprint}, OnTrial: true}
+	return append([]Effect{t.publishEntry(proven)}, t.publishEntries(now, others, nil)...)
 }
 
-// Completed records that a request completed on this node's target. It has no
-// effect for a request that is not suspect or quarantined.
+// completedWithin reports whether f is known to have completed shortly before now.
+func (t *Table) completedWithin(f Fingerprint, now time.Time) bool {
+	at := t.completions.last(f)
+	return t.cfg.CompletionWindow > 0 && !at.IsZero() && !now.After(at.Add(t.cfg.CompletionWindow))
+}
+
+// Completed records that a request completed on this node's target. It publishes that
+// only for a request that is suspect or quarantined.
 func (t *Table) Completed(now time.Time, f Fingerprint) []Effect {
 	if f == t.trialFingerprint {
 		t.trialUntil = time.Time{}
 	}
-	r := t.records[f]
-	if r == nil || r.state() == Clear || !r.expiry.After(now) {
+	if !t.ObserveCompletion(now, f) {
 		return nil
 	}
-	r.recordCompletion(now)
 	if len(t.pendingCompletions) == 0 {
 		t.publishAt = now.Add(t.cfg.CompletionDelay)
 	}
@@ -66,6 +89,20 @@
 	return t.publishCompletions(now)
 }
 
+// ObserveCompletion records that a request completed on any target, without publishing
+// it. It reports whether the request was suspect or quarantined.
+func (t *Table) ObserveCompletion(now time.Time, f Fingerprint) bool {
+	if t.cfg.CompletionWindow > 0 {
+		t.completions.add(f, now)
+	}
+	r := t.records[f]
+	if r == nil || r.state(&t.cfg) == Clear || !r.expiry.After(now) {
+		return false
+	}
+	r.recordCompletion(now, t.cfg.CompletionWindow)
+	return true
+}
+
 // Tick publishes pending completions that are due and removes expired records.
 // It should be called about once per CompletionDelay.
 func (t *Table) Tick(now time.Time) []Effect {
@@ -87,7 +124,7 @@
 	var cleared []Fingerprint
 	for _, f := range t.pendingCompletions {
 		// A completion does not clear a crash that followed it.
-		if r := t.records[f]; r != nil && r.state() == Clear {
+		if r := t.records[f]; r != nil && r.state(&t.cfg) == Clear {
 			cleared = append(cleared, f)
 		}
 	}
@@ -98,9 +135,13 @@
 // publishEntries splits the fingerprints into entries, merges these into the
 // table and returns the effects that publish them.
 func (t *Table) publishEntries(now time.Time, crashed, completed []Fingerprint) []Effect {
+	crashTTL := t.cfg.QuarantineTTL
+	if t.cfg.RequireTrial {
+		crashTTL = t.cfg.SuspectTTL
+	}
 	var out []Effect
 	for chunk := range slices.Chunk(crashed, MaxEntryFingerprints) {
-		out = append(out, t.publishEntry(Entry{At: now, Expiry: now.Add(t.cfg.QuarantineTTL), Crashed: chunk}))
+		out = append(out, t.publishEntry(Entry{At: now, Expiry: now.Add(crashTTL), Crashed: chunk}))
 	}
 	for chunk := range slices.Chunk(completed, MaxEntryFingerprints) {
 		out = append(out, t.publishEntry(Entry{At: now, Expiry: now.Add(t.cfg.SuspectTTL), Completed: chunk}))
@@ -126,13 +167,13 @@
 	}
 	for _, f := range e.Crashed {
 		if r := t.getOrCreateRecord(f, e.Expiry); r != nil {
-			r.addCrash(crash{e.Reporter, e.Seq, e.At})
+			r.addCrash(crash{e.Reporter, e.Seq, e.At, e.OnTrial}, t.cfg.CompletionWindow)
 			t.extendExpiry(r, e)
 		}
 	}
 	for _, f := range e.Completed {
 		if r := t.getOrCreateRecord(f, e.Expiry); r != nil {
-			r.recordCompletion(e.At)
+			r.recordCompletion(e.At, t.cfg.CompletionWindow)
 			t.extendExpiry(r, e)
 		}
 	}
@@ -142,8 +183,13 @@
 // extendExpiry extends the expiry of r to the TTL of its state after e.At.
 func (t *Table) extendExpiry(r *record, e Entry) {
 	ttl := t.cfg.SuspectTTL
-	if r.state() == Quarantined {
+	if r.state(&t.cfg) == Quarantined {
 		ttl = t.cfg.QuarantineTTL
+		if t.cfg.RequireTrial {
+			// The record outlasts the quarantine, so that the request is on trial
+			// when it comes again.
+			ttl = MaxEntryTTL
+		}
 	}
 	if expiry := e.At.Add(ttl); expiry.After(r.expiry) {
 		r.expiry = expiry
@@ -161,25 +207,25 @@
 		var evictee Fingerprint
 		var evicteeRecord *record
 		for g, r := range t.records {
-			if evicteeRecord == nil || evictBefore(g, r, evictee, evicteeRecord) {
+			if evicteeRecord == nil || t.evictBefore(g, r, evictee, evicteeRecord) {
 				evictee, evicteeRecord = g, r
 			}
 		}
-		if evicteeRecord.state() == Quarantined && !evicteeRecord.expiry.Before(expiry) {
+		if evicteeRecord.state(&t.cfg) == Quarantined && !evicteeRecord.expiry.Before(expiry) {
 			return nil
 		}
 		delete(t.records, evictee)
 	}
-	r := &record{}
+	r := &record{completedAt: t.completions.last(f)}
 	t.records[f] = r
 	return r
 }
 
 // evictBefore orders records for eviction: by state, quarantined last, then by
 // expiry, then by fingerprint.
-func evictBefore(f Fingerprint, r *record, g Fingerprint, s *record) bool {
-	if r.state() != s.state() {
-		return r.state() < s.state()
+func (t *Table) evictBefore(f Fingerprint, r *record, g Fingerprint, s *record) bool {
+	if a, b := r.state(&t.cfg), s.state(&t.cfg); a != b {
+		return a < b
 	}
 	if !r.expiry.Equal(s.expiry) {
 		return r.expiry.Before(s.expiry)
@@ -193,15 +239,22 @@
 	if r == nil || !r.expiry.After(now) {
 		return Verdict{}
 	}
-	return Verdict{State: r.state(), Crashes: len(r.crashes)}
+	v := Verdict{State: r.state(&t.cfg), Crashes: len(r.crashes)}
+	if v.State == Quarantined {
+		v.Until = r.quarantinedUntil(&t.cfg)
+		if !v.Until.After(now) {
+			v.State, v.Until = Suspect, time.Time{}
+		}
+	}
+	return v
 }
 
 // BeginTrial starts a trial, in which the suspect f runs on this node's target.
-// It reports false if f is quarantined or another trial is running: suspects run
-// one at a time, so that a crash is attributed to only one of them. The trial
-// ends with Completed, EndTrial, Crashed or after Config.TrialTimeout.
+// It reports false if f is quarantined, or another suspect is running: suspects on
+// trial run one at a time, so that a crash is attributed to only one of them. The
+// trial ends with Completed, EndTrial, Crashed or after Config.TrialTimeout.
 func (t *Table) BeginTrial(now time.Time, f Fingerprint) bool {
-	if t.trialUntil.After(now) || t.Check(now, f).State == Quarantined {
+	if t.trialUntil.After(now) || t.besideOthers > 0 || t.Check(now, f).State == Quarantined {
 		return false
 	}
 	t.trialFingerprint, t.trialUntil = f, now.Add(t.cfg.TrialTimeout)
@@ -215,3 +268,16 @@
 		t.trialUntil = time.Time{}
 	}
 }
+
+// BeginBesideOthers starts a run of a suspect on this node's target beside other
+// suspects. It reports false while one is on trial. EndBesideOthers ends the run.
+func (t *Table) BeginBesideOthers(now time.Time) bool {
+	if t.trialUntil.After(now) {
+		return false
+	}
+	t.besideOthers++
+	return true
+}
+
+// EndBesideOthers ends a run that BeginBesideOthers has started.
+func (t *Table) EndBesideOthers() { t.besideOthers-- }
