Move the guard around the quarantine table to a package of its own

The wrapper in package node that makes the table safe for concurrent use, lets suspects wait for each other and sends entries was private to node; mesh needs the same. It knows both rules of the table.

--- /dev/null
+++ b/crashguard/run.go
@@ -0,0 +1,44 @@
+package crashguard
+
+import "github.com/goldcrestsail/goldcrestsail/quarantine"
+
+// Run is a run of a request at the local target.
+type Run struct {
+	guard       *Guard
+	fingerprint quarantine.Fingerprint
+	mode        runMode
+}
+
+// runMode is how the run of a request is restricted. Higher modes are more
+// restrictive.
+type runMode uint8
+
+const (
+	unrestricted runMode = iota
+	besideOthers
+	onTrial
+)
+
+// Suspect reports that the request is suspected to end its target.
+func (r *Run) Suspect() bool { return r.mode != unrestricted }
+
+// End ends the run; completed reports that the target has responded.
+func (r *Run) End(completed bool) {
+	g, f := r.guard, r.fingerprint
+	g.mu.Lock()
+	var effects []quarantine.Effect
+	switch {
+	case r.mode == besideOthers:
+		g.table.EndBesideOthers()
+	case r.mode == onTrial && !completed:
+		g.table.EndTrial(f)
+	}
+	if completed {
+		effects = g.table.Completed(g.now(), f)
+	}
+	if r.mode != unrestricted {
+		g.notifyLocked()
+	}
+	g.mu.Unlock()
+	g.publish(effects)
+}
--- a/node/dump.go
+++ b/node/dump.go
@@ -34,7 +34,7 @@
 			"peers": n.peers.addresses(), "requests_in_progress": n.inFlight.current(),
 			"requests_held": n.entryLimiter.requests.Load(), "body_bytes_held": n.entryLimiter.bytes.Load(),
 		},
-		"quarantine": n.quarantine.list(),
+		"quarantine": n.quarantine.guard.List(),
 		"config": map[string]any{
 			"offset": configState.Offset(), "status": n.configUpdater.runner.Status(),
 			"policies": configState.Policies(), "results": configState.Results(),
--- a/node/forward.go
+++ b/node/forward.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 
 	"github.com/goldcrestsail/goldcrestsail/chain"
+	"github.com/goldcrestsail/goldcrestsail/internal/ctxwait"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/peerrpc"
 	"github.com/goldcrestsail/goldcrestsail/quarantine"
@@ -154,7 +155,7 @@
 // nodes have received the quarantine entry.
 func (f *forwardState) finalFailure(ctx context.Context, failure *kind.Error) *kind.Error {
 	if f.crashes > 0 {
-		waitFor(ctx, nil, time.Until(f.crashedAt.Add(crashReportDelay)))
+		ctxwait.For(ctx, time.Until(f.crashedAt.Add(crashReportDelay)))
 	}
 	if f.mayHaveRun && failure.Run == kind.NotRun {
 		return failure.WithRun(kind.MayHaveRun)
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"encoding/binary"
-	"sync"
 	"time"
 
+	"github.com/goldcrestsail/goldcrestsail/crashguard"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/membership"
 	"github.com/goldcrestsail/goldcrestsail/quarantine"
@@ -27,24 +27,21 @@
 // reports to the other nodes. It is safe for concurrent use.
 type quarantineTable struct {
 	node  *Node
-	mu    sync.Mutex
-	table *quarantine.Table
-	// changed is closed and replaced when an entry arrives or a trial ends.
-	changed chan struct{}
+	guard *crashguard.Guard
 }
 
 func newQuarantineTable(n *Node) *quarantineTable {
-	return &quarantineTable{
-		node: n, changed: make(chan struct{}),
-		table: quarantine.New(quarantine.Config{Reporter: binary.BigEndian.Uint64(n.id[8:])}),
-	}
+	return &quarantineTable{node: n, guard: crashguard.New(crashguard.Config{
+		Table:      quarantine.Config{Reporter: binary.BigEndian.Uint64(n.id[8:])},
+		Broadcast:  func(b membership.Broadcast) { n.gossip.Broadcast(b) },
+		TrialWait:  trialWait,
+		ReportWait: crashReportWait,
+	})}
 }
 
 // state returns the quarantine state of a request.
 func (q *quarantineTable) state(fingerprint uint64) quarantine.State {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.table.Check(time.Now(), quarantine.Fingerprint(fingerprint)).State
+	return q.guard.Check(quarantine.Fingerprint(fingerprint)).State
 }
 
 // reportCrash reports the requests that were in flight when the target crashed.
@@ -53,11 +50,7 @@
 	for i, f := range fingerprints {
 		inFlight[i] = quarantine.Fingerprint(f)
 	}
-	q.mu.Lock()
-	effects := q.table.Crashed(time.Now(), inFlight)
-	q.notifyLocked()
-	q.mu.Unlock()
-	q.publish(effects)
+	q.guard.ReportCrash(inFlight)
 }
 
 // merge adds a quarantine entry broadcast by another node.
@@ -70,99 +63,19 @@
 		q.node.log.Warn("quarantine entry rejected", "id", b.ID, "error", err)
 		return
 	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.table.Merge(time.Now(), entry)
-	q.notifyLocked()
+	q.guard.Merge(entry)
 }
 
 // begin starts the trial of a suspect request and admits any other request that
 // is not quarantined. end must be called when the request has ended; completed
 // reports that it ran to completion. The error has run state not-run.
 func (q *quarantineTable) begin(ctx context.Context, fingerprint uint64, knownCrashes uint32) (end func(completed bool), failure *kind.Error) {
-	f := quarantine.Fingerprint(fingerprint)
-	reportDeadline, trialDeadline := time.Now().Add(crashReportWait), time.Now().Add(trialWait)
-	for {
-		now := time.Now()
-		q.mu.Lock()
-		state := q.table.Check(now, f).State
-		started := state == quarantine.Suspect && q.table.BeginTrial(now, f)
-		changed := q.changed
-		q.mu.Unlock()
-		wait := time.Duration(0)
-		switch {
-		case state == quarantine.Quarantined:
-			return nil, kind.New(kind.Quarantined, "the request has crashed targets")
-		case started:
-			return func(completed bool) { q.endTrial(f, completed) }, nil
-		case state == quarantine.Suspect:
-			if wait = trialDeadline.Sub(now); wait <= 0 {
-				return nil, kind.New(kind.QueueTimeout, "another request that may crash the target is running")
-			}
-		case knownCrashes == 0 || !now.Before(reportDeadline):
-			return func(bool) {}, nil
-		default:
-			wait = reportDeadline.Sub(now)
-		}
-		if !waitFor(ctx, changed, wait) {
-			return nil, kind.New(kind.Canceled, "the caller left before the request ran").WithRun(kind.NotRun)
-		}
-	}
-}
-
-// waitFor waits until changed is closed or d has passed. It returns false if ctx
-// is done first.
-func waitFor(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-changed:
-	case <-timer.C:
-	case <-ctx.Done():
-		return false
+	run, failure := q.guard.Begin(ctx, quarantine.Fingerprint(fingerprint), int(knownCrashes))
+	if failure != nil {
+		return nil, failure
 	}
-	return true
-}
-
-func (q *quarantineTable) endTrial(f quarantine.Fingerprint, completed bool) {
-	q.mu.Lock()
-	var effects []quarantine.Effect
-	if completed {
-		effects = q.table.Completed(time.Now(), f)
-	} else {
-		q.table.EndTrial(f)
+	if !run.Suspect() {
+		return func(bool) {}, nil
 	}
-	q.notifyLocked()
-	q.mu.Unlock()
-	q.publish(effects)
-}
-
-// tick publishes collected completions and removes expired entries.
-func (q *quarantineTable) tick() {
-	q.mu.Lock()
-	effects := q.table.Tick(time.Now())
-	q.mu.Unlock()
-	q.publish(effects)
-}
-
-func (q *quarantineTable) publish(effects []quarantine.Effect) {
-	for _, e := range effects {
-		if p, ok := e.(quarantine.Publish); ok {
-			q.node.gossip.Broadcast(membership.Broadcast{
-				Kind: quarantine.BroadcastKind, ID: p.Entry.ID(), Payload: p.Entry.Encode(), Expiry: p.Entry.Expiry,
-			})
-		}
-	}
-}
-
-func (q *quarantineTable) notifyLocked() {
-	close(q.changed)
-	q.changed = make(chan struct{})
-}
-
-// list returns the suspects and quarantined fingerprints for a state dump.
-func (q *quarantineTable) list() []quarantine.FingerprintStatus {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.table.List(time.Now())
+	return run.End, nil
 }
--- a/node/target_side.go
+++ b/node/target_side.go
@@ -108,7 +108,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			n.quarantine.tick()
+			n.quarantine.guard.Tick()
 			if a := n.config.Announcement; a != nil {
 				n.reannounce(*a)
 				continue
