Stop sending a request that ends its targets

What callers saw: a request under which three targets had ended was sent to targets again and again, and ended each.

Cause: nothing connected one attempt of a client with the next. Class of fault: a protection that the product has, left out of the second of its two request paths.

Each node now keeps a crashguard. Runs at work when the target's process ends become suspects, by a fingerprint of method, host, path and body; the report goes to all nodes by gossip, and to the node that sent the call with the reply. Each attempt checks anew, and so does a call that was queued meanwhile. Other requests cost a hash and a lookup.

The dial that shows the end of a process tells a crash from a lost answer, a reset connection or the pause of the node itself; an announced departure is none.

--- a/mesh/admin.go
+++ b/mesh/admin.go
@@ -57,6 +57,7 @@
 		"members": members,
 		"gossip":  gossipStats(n.gossip.Stats()),
 		"chains":  n.chainState(now),
+		"crashes": n.crashState(),
 		"budgets": n.budgets.states(now),
 		"store":   map[string]any{"in_touch": n.storeReachable.Load(), "reads_config": n.readsStore.Load(), "timeline": timeline, "holds_record": n.recordCurrent()},
 		"bodies":  map[string]any{"bytes": n.bodyMemory.Used(), "limit_bytes": n.bodyMemory.Limit()},
--- a/mesh/answer.go
+++ b/mesh/answer.go
@@ -35,8 +35,9 @@
 		response.Status = http.StatusBadGateway
 	case failure.Kind == kind.Quarantined && failure.Run == kind.NotRun:
 		// Not 403, which would mean that the caller is not permitted to send
-		// such requests.
+		// such requests. It gains nothing by coming back.
 		response.Status = http.StatusServiceUnavailable
+		response.RetryAfter = max(time.Duration(float64(timeLeft)*maxRetryAfterShare), minRetryAfter)
 	case failure.Run == kind.NotRun && entry.Status >= http.StatusInternalServerError, entry.Status == http.StatusTooManyRequests && failure.Run == kind.NotRun:
 		response.Status = http.StatusServiceUnavailable
 		response.RetryAfter = retryAfter(failure, entry, timeLeft, jitter)
--- /dev/null
+++ b/mesh/crash_guard.go
@@ -0,0 +1,114 @@
+package mesh
+
+import (
+	"context"
+	"encoding/binary"
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/crashguard"
+	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/membership"
+	"github.com/goldcrestsail/goldcrestsail/message"
+	"github.com/goldcrestsail/goldcrestsail/quarantine"
+)
+
+const (
+	// trialWait limits how long a suspect waits for the runs of other suspects.
+	trialWait = time.Second
+	// completionWindow exceeds the interval between requests of a kind that the
+	// deployment serves all the time.
+	completionWindow = 10 * time.Second
+	// quarantineTTL is the first quarantine of a request; see quarantine.Config.
+	quarantineTTL = 10 * time.Minute
+	// crashTickInterval is how often completions of suspects are published.
+	crashTickInterval = 500 * time.Millisecond
+)
+
+func newCrashGuard(n *Node) *crashguard.Guard {
+	return crashguard.New(crashguard.Config{
+		Table: quarantine.Config{
+			Reporter: binary.BigEndian.Uint64(n.id[8:]), RequireTrial: true, QuarantineTTL: quarantineTTL, CompletionWindow: completionWindow,
+			CompletionDelay: crashTickInterval,
+		},
+		Broadcast: func(b membership.Broadcast) { n.gossip.Broadcast(b) },
+		TrialWait: trialWait,
+	})
+}
+
+// fingerprintOf returns the fingerprint of a request.
+func fingerprintOf(r *message.Request) quarantine.Fingerprint {
+	return quarantine.FingerprintOf(r.Method, r.Host, r.URI, r.Body)
+}
+
+// checkQuarantine sets what is known of crashes under a request before it is sent, and
+// refuses it in quarantine.
+func (n *Node) checkQuarantine(call *message.Call) *kind.Error {
+	verdict := n.crashes.Check(call.Fingerprint)
+	if verdict.State == quarantine.Quarantined {
+		return crashguard.Refusal(verdict, time.Now())
+	}
+	call.KnownCrashes = verdict.Crashes
+	return nil
+}
+
+// beginRun begins a run of a call at the local target. A suspect waits for the runs of
+// other suspects, but not beyond its deadline.
+func (n *Node) beginRun(ctx context.Context, call *message.Call) (*crashguard.Run, *kind.Error) {
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	return n.crashes.Begin(ctx, call.Fingerprint, call.KnownCrashes)
+}
+
+// observeReply records what a reply tells about the request itself.
+func (n *Node) observeCrash(call *message.Call, reply *message.Reply) {
+	if reply.Response != nil {
+		n.crashes.ObserveCompletion(call.Fingerprint)
+		return
+	}
+	if len(reply.CrashReport) == 0 {
+		return
+	}
+	entry, err := quarantine.Decode(reply.CrashReport)
+	if err != nil {
+		n.log.Warn("crash report of a peer rejected", "request_id", call.ID, "error", err)
+		return
+	}
+	n.crashes.Merge(entry)
+	// The peer may end before its own broadcast has spread.
+	n.crashes.Broadcast(entry)
+}
+
+// receiveCrashReport applies an entry of another node.
+func (n *Node) receiveCrashReport(b membership.Broadcast) {
+	entry, err := quarantine.Decode(b.Payload)
+	if err != nil {
+		n.log.Warn("crash report of a peer rejected", "id", b.ID, "error", err)
+		return
+	}
+	n.crashes.Merge(entry)
+	for _, f := range entry.Crashed {
+		if verdict := n.crashes.Check(f); verdict.State == quarantine.Quarantined {
+			n.log.Info("request in quarantine", "fingerprint", f.String(), "crashes", verdict.Crashes, "until", verdict.Until,
+				"report_age_ms", time.Since(entry.At).Milliseconds(), "source", b.ID)
+		}
+	}
+}
+
+// crashState returns the suspects for a state dump.
+func (n *Node) crashState() []map[string]any {
+	states := []map[string]any{}
+	for _, s := range n.crashes.List() {
+		states = append(states, map[string]any{"fingerprint": s.Fingerprint.String(), "state": s.State.String(), "crashes": s.Crashes, "expiry": s.Expiry})
+	}
+	return states
+}
+
+// countSuspects returns the number of requests in a state.
+func (n *Node) countSuspects(state quarantine.State) (count int) {
+	for _, s := range n.crashes.List() {
+		if s.State == state {
+			count++
+		}
+	}
+	return count
+}
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/goldcrestsail/goldcrestsail/admission"
+	"github.com/goldcrestsail/goldcrestsail/crashguard"
 	"github.com/goldcrestsail/goldcrestsail/gate"
 	"github.com/goldcrestsail/goldcrestsail/httpconn"
 	"github.com/goldcrestsail/goldcrestsail/kind"
@@ -47,13 +48,12 @@
 	if _, failure := n.target.acceptsWork(time.Now()); failure != nil {
 		return &message.Reply{Failure: failure}
 	}
-	rank := admission.MakeRank(int(call.Importance), call.Admitted, call.ChainLevel)
-	enqueuedAt := time.Now()
-	id, failure := n.gate.Acquire(ctx, gate.Request{Rank: rank, Deadline: call.Deadline, MaxWait: call.MaxWait, Repeat: call.Repeat})
+	begun, id, failure := n.admit(ctx, call)
 	if failure != nil {
 		return &message.Reply{Failure: failure}
 	}
-	n.metrics.queueTime.Update(time.Since(enqueuedAt).Seconds())
+	answered := false
+	defer func() { begun.End(answered) }()
 	// The target may have announced its departure while the request was queued.
 	targetID, failure := n.target.acceptsWork(time.Now())
 	if failure != nil {
@@ -71,14 +71,17 @@
 	sent := bounded
 	sent.Deadline = entry.deadline
 	response, failure := n.sendToTarget(ctx, &sent, targetID, answerBy.Add(targetAnswerMargin))
-	if failure != nil && failure.Kind == kind.AnswerTruncated {
-		n.runBroke(call)
+	answered = failure == nil
+	var crashReport []byte
+	if failure != nil && failure.Kind == kind.AnswerTruncated && n.runBroke(call) {
+		failure = kind.Newf(kind.TargetCrashed, "the target ended while it ran the request: %s", failure.Detail)
+		crashReport = n.ends.reportOf(call.Fingerprint)
 	}
 	ownTime, totalTime := n.inFlight.remove(time.Now(), entry)
 	n.metrics.targetTime.Update(totalTime.Seconds())
 	n.gate.Release(id, limiterSample(response, failure, ownTime, totalTime))
 	visited, dependencyFailed := n.inFlight.subCallOutcome(entry)
-	reply := &message.Reply{Failure: failure, Cutoffs: n.downstreamCutoffs(visited, time.Now()), DependencyFailed: dependencyFailed}
+	reply := &message.Reply{Failure: failure, Cutoffs: n.downstreamCutoffs(visited, time.Now()), DependencyFailed: dependencyFailed, CrashReport: crashReport}
 	reply.Visited = append(visited, message.Visit{Service: call.Service, Runs: 1})
 	if failure == nil {
 		reply.Response, reply.OwnTime = &response.Response, ownTime
@@ -86,6 +89,30 @@
 	return reply
 }
 
+// admit begins a run of a call and waits for a slot of the target.
+func (n *Node) admit(ctx context.Context, call *message.Call) (*crashguard.Run, admission.ID, *kind.Error) {
+	rank := admission.MakeRank(int(call.Importance), call.Admitted, call.ChainLevel)
+	for {
+		begun, failure := n.beginRun(ctx, call)
+		if failure != nil {
+			return nil, 0, failure
+		}
+		enqueuedAt := time.Now()
+		id, failure := n.gate.Acquire(ctx, gate.Request{Rank: rank, Deadline: call.Deadline, MaxWait: call.MaxWait, Repeat: call.Repeat})
+		if failure != nil {
+			begun.End(false)
+			return nil, 0, failure
+		}
+		n.metrics.queueTime.Update(time.Since(enqueuedAt).Seconds())
+		if !n.crashes.Outdated(begun, call.KnownCrashes) {
+			return begun, id, nil
+		}
+		// The request has become suspect while it was queued.
+		n.gate.Release(id, nil)
+		begun.End(false)
+	}
+}
+
 // sendToTarget sends a request to the target. An idempotent request is canceled
 // when its caller disconnects; an unsafe one continues, since it may already
 // have had an effect. The response is awaited until answerBy.
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -75,6 +75,9 @@
 	if call.Deadline.Sub(start) < minTimeLeft {
 		return &message.Reply{Failure: kind.New(kind.DeadlineExpired, "no time left to send the request").WithRun(kind.NotRun)}
 	}
+	if failure := n.checkQuarantine(call); failure != nil {
+		return &message.Reply{Failure: failure}
+	}
 	id, address, failure := f.pickTarget(start)
 	if failure != nil {
 		return &message.Reply{Failure: failure}
@@ -98,6 +101,7 @@
 	}
 	n.directory.Done(now, call.Service, id, routingResult(f.request, now.Sub(start), reply))
 	n.observeCutoffs(call.Service, id, reply, now)
+	n.observeCrash(call, reply)
 	return reply
 }
 
@@ -122,6 +126,12 @@
 		// All attempts that the route allows have been used, so only targets
 		// that refused the request may be tried again.
 		input = routing.PickInput{Pinned: f.refusedBy[refusals%max(f.request.route.MaxAttempts, 1)]}
+	} else if call.KnownCrashes > 0 {
+		suspect := input
+		suspect.Designated = uint64(call.Fingerprint)
+		if id, address, failure := f.node.directory.Pick(now, call.Service, suspect); failure == nil {
+			return id, address, nil
+		}
 	}
 	return f.node.directory.Pick(now, call.Service, input)
 }
--- a/mesh/gossip_delegate.go
+++ b/mesh/gossip_delegate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/goldcrestsail/goldcrestsail/membership"
+	"github.com/goldcrestsail/goldcrestsail/quarantine"
 	"github.com/goldcrestsail/goldcrestsail/registration"
 )
 
@@ -96,6 +97,8 @@
 	switch b.Kind {
 	case departureBroadcastKind:
 		d.node.receiveDeparture(b)
+	case quarantine.BroadcastKind:
+		d.node.receiveCrashReport(b)
 	case timelineBroadcastKind:
 		d.node.receiveTimeline(b)
 	}
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/quarantine"
 )
 
 // nodeMetrics are the metrics of one node. They are documented in
@@ -52,6 +53,8 @@
 	gauge("reads_store", func() float64 { return boolGauge(n.readsStore.Load()) })
 	gauge("body_memory_bytes", func() float64 { return float64(n.bodyMemory.Used()) })
 	gauge("body_memory_limit_bytes", func() float64 { return float64(n.bodyMemory.Limit()) })
+	gauge("suspect_requests", func() float64 { return float64(n.countSuspects(quarantine.Suspect)) })
+	gauge("quarantined_requests", func() float64 { return float64(n.countSuspects(quarantine.Quarantined)) })
 	gauge("gossip_bytes_sent", func() float64 { return float64(n.gossip.Stats().BytesSent) })
 	return m
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/goldcrestsail/goldcrestsail/chainadmission"
 	"github.com/goldcrestsail/goldcrestsail/configreaders"
+	"github.com/goldcrestsail/goldcrestsail/crashguard"
 	"github.com/goldcrestsail/goldcrestsail/directory"
 	"github.com/goldcrestsail/goldcrestsail/gate"
 	"github.com/goldcrestsail/goldcrestsail/gossip"
@@ -69,6 +70,7 @@
 	gate          *gate.Gate
 	inFlight      *inFlight
 	ends          targetEnds
+	crashes       *crashguard.Guard
 	directory     *directory.Directory
 	peers         *peerlink.Pool
 	budgets       *budgets
@@ -153,6 +155,7 @@
 	n.record = newRecordWriter(rand.New(rand.NewPCG(seed, 3)))
 	n.chains.rng = rand.New(rand.NewPCG(seed, 2))
 	n.chains.table = chainadmission.NewTable()
+	n.crashes = newCrashGuard(n)
 	n.service.Store(&config.Service)
 	n.grace.Store(int64(config.GracePeriod))
 	n.callers = &httpconn.Server{
@@ -236,12 +239,16 @@
 	defer ticker.Stop()
 	fetchTicker := time.NewTicker(configFetchInterval)
 	defer fetchTicker.Stop()
+	crashTicker := time.NewTicker(crashTickInterval)
+	defer crashTicker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-fetchTicker.C:
 			n.fetchAnnouncedConfig()
+		case <-crashTicker.C:
+			n.crashes.Tick()
 		case now := <-ticker.C:
 			n.checkPeers(now)
 			n.client.PruneIdle(now)
--- a/mesh/target_end.go
+++ b/mesh/target_end.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -32,7 +32,9 @@
 type targetEnds struct {
 	mu     sync.Mutex
 	broken quarantine.BrokenRuns
-	probe  singleflight.Group
+	// entries are those about the last end.
+	entries []quarantine.Entry
+	probe   singleflight.Group
 }
 
 func (e *targetEnds) add(r *quarantine.BrokenRun) {
@@ -54,20 +56,30 @@
 	return e.broken.TakeLast(time.Now())
 }
 
-// fingerprintOf returns the fingerprint of a request.
-func fingerprintOf(r *message.Request) uint64 {
-	return uint64(quarantine.FingerprintOf(r.Method, r.Host, r.URI, r.Body))
+// reportOf returns the encoded entry about the last end that holds a request, or nil.
+func (e *targetEnds) reportOf(f quarantine.Fingerprint) []byte {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, entry := range e.entries {
+		if slices.Contains(entry.Crashed, f) {
+			return entry.Encode()
+		}
+	}
+	return nil
 }
 
-// formatFingerprint returns the form of a fingerprint in logs and dumps.
-func formatFingerprint(f uint64) string { return fmt.Sprintf("%016x", f) }
+func (e *targetEnds) setEntries(entries []quarantine.Entry) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.entries = entries
+}
 
 // runBroke records that the connection on which the target ran a call ended before
 // its response was complete, and reports whether the process of the target has ended.
 // If it has, nothing listens at its address. Otherwise only the connection or the
 // response was lost, or the next process has started already; its report tells.
 func (n *Node) runBroke(call *message.Call) bool {
-	r := &quarantine.BrokenRun{Fingerprint: quarantine.Fingerprint(call.Fingerprint), RequestID: call.ID}
+	r := &quarantine.BrokenRun{Fingerprint: call.Fingerprint, RequestID: call.ID}
 	n.ends.add(r)
 	for {
 		ended, _, _ := n.ends.probe.Do("", func() (any, error) { return n.probeTargetEnd(), nil })
@@ -110,7 +122,7 @@
 	}
 	runs := n.ends.takeLast()
 	for _, call := range n.inFlight.startedBefore(time.UnixMilli(after.StartedAtMs)) {
-		runs = append(runs, &quarantine.BrokenRun{Fingerprint: quarantine.Fingerprint(call.Fingerprint), RequestID: call.ID})
+		runs = append(runs, &quarantine.BrokenRun{Fingerprint: call.Fingerprint, RequestID: call.ID})
 	}
 	if len(runs) > 0 {
 		n.handleTargetEnd(before, "report of a new process", runs)
@@ -118,13 +130,24 @@
 }
 
 // handleTargetEnd records that the process of the target ended while runs were at
-// work.
+// work, and reports them as suspects.
 func (n *Node) handleTargetEnd(ended registration.Report, evidence string, runs []*quarantine.BrokenRun) {
 	n.metrics.targetEnds.Inc()
+	fingerprints := make([]quarantine.Fingerprint, len(runs))
+	for i, r := range runs {
+		fingerprints[i] = r.Fingerprint
+	}
+	entries := n.crashes.ReportCrash(fingerprints)
+	n.ends.setEntries(entries)
+	suspects, onTrial := 0, false
+	for _, e := range entries {
+		suspects += len(e.Crashed)
+		onTrial = onTrial || e.OnTrial
+	}
 	var requests []string
 	for _, r := range runs[:min(len(runs), maxLoggedRuns)] {
-		requests = append(requests, r.RequestID+" "+formatFingerprint(uint64(r.Fingerprint)))
+		requests = append(requests, r.RequestID+" "+r.Fingerprint.String())
 	}
 	n.log.Warn("target's process ended", "target", ended.TargetID, "born", ended.StartedAtMs, "evidence", evidence,
-		"at_work", len(runs), "requests", requests)
+		"at_work", len(runs), "suspects", suspects, "on_trial", onTrial, "requests", requests)
 }
--- a/message/call.go
+++ b/message/call.go
@@ -1,6 +1,10 @@
 package message
 
-import "time"
+import (
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/quarantine"
+)
 
 // Call is a request that an entry node sends to the node of a target.
 type Call struct {
@@ -21,7 +25,10 @@
 	Repeat bool
 	// Fingerprint identifies the request by its content. Each node computes it; it
 	// is not sent.
-	Fingerprint uint64
+	Fingerprint quarantine.Fingerprint
+	// KnownCrashes is the number of crashes of targets that the sender attributes to
+	// the request.
+	KnownCrashes int
 	// MaxWait limits the queueing time at the target's node; 0 applies that
 	// node's own limit.
 	MaxWait time.Duration
--- a/message/reply.go
+++ b/message/reply.go
@@ -20,6 +20,9 @@
 	// OwnTime is the time that the target took to run the request, excluding its
 	// sub-calls; 0 means unknown.
 	OwnTime time.Duration
+	// CrashReport is the encoded quarantine.Entry about the crash of the target under
+	// the request, empty if there was none.
+	CrashReport []byte
 	// DependencyFailed reports that a sub-call was refused or failed, so that a
 	// failure of the request is no evidence against the target.
 	DependencyFailed bool
--- a/peerlink/encode_call.go
+++ b/peerlink/encode_call.go
@@ -25,6 +25,7 @@
 	callAdmitted
 	callMaxWait
 	callRepeat
+	callKnownCrashes
 )
 
 // appendCall encodes a call without its body. The deadline is sent as the time left
@@ -43,9 +44,13 @@
 	b = appendUint(b, callChainLevel, uint64(c.ChainLevel))
 	b = appendUint(b, callMaxWait, uint64(max(0, c.MaxWait.Microseconds())))
 	b = appendBool(b, callRepeat, c.Repeat)
+	b = appendUint(b, callKnownCrashes, uint64(max(0, c.KnownCrashes)))
 	return appendBool(b, callAdmitted, c.Admitted)
 }
 
+// maxKnownCrashes bounds the crash count accepted from a peer.
+const maxKnownCrashes = 255
+
 // maxDuration bounds the durations accepted from a peer.
 const maxDuration = 24 * time.Hour
 
@@ -71,6 +76,8 @@
 			c.ChainLevel = uint8(min(v, 255))
 		case callRepeat:
 			c.Repeat = v != 0
+		case callKnownCrashes:
+			c.KnownCrashes = int(min(v, maxKnownCrashes))
 		case callMaxWait:
 			c.MaxWait = decodeMicroseconds(v)
 		case callAdmitted:
--- a/peerlink/encode_reply.go
+++ b/peerlink/encode_reply.go
@@ -1,6 +1,7 @@
 package peerlink
 
 import (
+	"bytes"
 	"cmp"
 	"time"
 
@@ -30,6 +31,7 @@
 	replyCutoff
 	replyDependencyFailed
 	replyOwnTime
+	replyCrashReport
 )
 
 // Field numbers of a message.ServiceCutoff and of a message.Visit.
@@ -84,6 +86,9 @@
 		inner = appendUint(inner, cutoffAge, uint64(max(0, c.Age.Milliseconds())))
 		b = appendBytes(b, replyCutoffs, inner)
 	}
+	if len(r.CrashReport) > 0 {
+		b = appendBytes(b, replyCrashReport, r.CrashReport)
+	}
 	b = appendUint(b, replyOwnTime, uint64(max(0, r.OwnTime.Microseconds())))
 	return appendBool(b, replyDependencyFailed, r.DependencyFailed)
 }
@@ -151,6 +156,8 @@
 				load.ByImportance = append(load.ByImportance, uint32(n))
 				v = v[size:]
 			}
+		case replyCrashReport:
+			r.CrashReport = bytes.Clone(v)
 		case replyVisited:
 			return decodeVisit(v, t, &r.Visited)
 		case replyCutoffs:
