Do not repeat a suspect whose run was lost

An idempotent request that had ended a target before could end two more in one attempt of its client, the second by the entry node's own repeat. A request that became a suspect by this very attempt is still repeated once: most requests at work at a crash are innocent. TestSuspectIsNotRetriedAfterLostRun fails without the rule (by its second check).

--- a/mesh/forward_test.go
+++ b/mesh/forward_test.go
@@ -62,6 +62,19 @@
 	}
 }
 
+// Guards against a suspect that ends two targets in one attempt of its client.
+func TestSuspectIsNotRetriedAfterLostRun(t *testing.T) {
+	for _, k := range []kind.Kind{kind.PeerLost, kind.AnswerTruncated, kind.TargetCrashed} {
+		f := newTestForwarding(t, false)
+		require.True(t, f.shouldRetry(context.Background(), failureReply(k, kind.MayHaveRun)), k)
+		f = newTestForwarding(t, false)
+		f.request.call.KnownCrashes = 1
+		require.False(t, f.shouldRetry(context.Background(), failureReply(k, kind.MayHaveRun)), k)
+		require.Equal(t, kind.MayHaveRun, f.finalReply(failureReply(k, kind.NotRun)).Failure.Run)
+		require.True(t, f.shouldRetry(context.Background(), failureReply(kind.DialFailed, kind.NotRun)))
+	}
+}
+
 // Guards against a failure of the system that a client takes for the target's
 // response, and against statuses that guarantee more than is known.
 func TestFailureStatusMatchesRunState(t *testing.T) {
--- a/mesh/repeat.go
+++ b/mesh/repeat.go
@@ -55,6 +55,10 @@
 		q.notRetriedReason = "it may have run"
 		return false
 	}
+	if !notRun && failure != nil && q.call.KnownCrashes > 0 {
+		q.notRetriedReason = "it may have crashed a target again"
+		return false
+	}
 	if failure != nil && notRun && !reachedTarget(failure) {
 		f.notSent++
 		return f.notSent < maxNotSent && !overloaded(failure)
