Keep reports of crashes on trial in the node's record

When all nodes restart, what they know of a request in quarantine is gone, and it ends as many targets as before: with the ones before, more than three after the third. Such reports are rare and small, so each node keeps those that it has made in the record that it has in the store anyway, 32 at most; a node that starts lists all records already. No further call, and a write only when a request crashes a target on trial.

Suspects that have not crashed a target on trial are forgotten in that case.

--- a/crashguard/guard.go
+++ b/crashguard/guard.go
@@ -46,14 +46,15 @@
 }
 
 // ReportLost reports a request that was at work at the target of a node which has
-// ended. knownCrashes is what that node was told about it.
-func (g *Guard) ReportLost(f quarantine.Fingerprint, knownCrashes int) {
+// ended, and returns the entries that are sent to the other nodes. knownCrashes is what
+// that node was told about the request.
+func (g *Guard) ReportLost(f quarantine.Fingerprint, knownCrashes int) []quarantine.Entry {
 	g.mu.Lock()
 	sentAs := g.mode(quarantine.Verdict{}, knownCrashes)
 	effects := g.table.CrashedElsewhere(g.now(), f, sentAs == onTrial)
 	g.notifyLocked()
 	g.mu.Unlock()
-	g.publish(effects)
+	return g.publish(effects)
 }
 
 // Merge adds an entry of another node.
--- a/mesh/lost_peers.go
+++ b/mesh/lost_peers.go
@@ -78,7 +78,9 @@
 		var requests []string
 		for _, c := range calls {
 			if reported {
-				n.crashes.ReportLost(c.fingerprint, c.knownCrashes)
+				for _, entry := range n.crashes.ReportLost(c.fingerprint, c.knownCrashes) {
+					n.recordTrialReport(entry)
+				}
 			}
 			requests = append(requests, c.requestID+" "+c.fingerprint.String())
 		}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -72,6 +72,7 @@
 	ends          targetEnds
 	crashes       *crashguard.Guard
 	lostPeers     lostPeers
+	trialReports  trialReports
 	directory     *directory.Directory
 	peers         *peerlink.Pool
 	budgets       *budgets
--- a/mesh/recovery.go
+++ b/mesh/recovery.go
@@ -101,7 +101,8 @@
 // restoreRecord joins through the records, restores the departures that an earlier
 // process of this instance saved, and replaces its record if it has changed. If the
 // store has been restored from a copy since the record was written, departures that
-// were acknowledged later may be missing; the peers know them from gossip.
+// were acknowledged later may be missing; the peers know them from gossip. The records
+// of all nodes tell which requests are in quarantine.
 func (n *Node) restoreRecord(ctx context.Context) (restoredRecord, error) {
 	var revision uint64
 	n.record.read(func(k *recordsync.Keeper) { revision = k.Revision() })
@@ -114,6 +115,7 @@
 	n.gossip.AddSeeds(restored.seeds)
 	var own Record
 	for _, r := range records {
+		n.restoreTrialReports(r)
 		if r.Instance == n.config.Name {
 			own = r
 			n.target.addDepartures(r.Departures...)
@@ -126,7 +128,8 @@
 		n.log.Warn("record of the instance is missing or may lack departures", "timeline", timeline,
 			"record_timeline", own.Timeline, "departures", len(own.Departures))
 	}
-	if restored.complete && own.Gossip.String() == n.config.GossipAddress && slices.Equal(own.Departures, n.departures()) {
+	if restored.complete && own.Gossip.String() == n.config.GossipAddress && slices.Equal(own.Departures, n.departures()) &&
+		equalReports(own.TrialReports, n.trialReports.encoded(time.Now())) {
 		// A departure since the revision was read is not in the listed record.
 		n.record.update(func(k *recordsync.Keeper) {
 			k.Confirm(time.Now(), recordsync.Version{Revision: revision, Timeline: timeline})
--- a/mesh/target_end.go
+++ b/mesh/target_end.go
@@ -143,6 +143,7 @@
 	for _, e := range entries {
 		suspects += len(e.Crashed)
 		onTrial = onTrial || e.OnTrial
+		n.recordTrialReport(e)
 	}
 	var requests []string
 	for _, r := range runs[:min(len(runs), maxLoggedRuns)] {
