--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -71,7 +71,9 @@
 	sent := bounded
 	sent.Deadline = entry.deadline
 	response, failure := n.sendToTarget(ctx, &sent, targetID, answerBy.Add(targetAnswerMargin))
-	answered = failure == nil
+	if answered = failure == nil; answered {
+		n.ends.alive(entry.started)
+	}
 	var crashReport []byte
 	if failure != nil && failure.Kind == kind.AnswerTruncated && n.runBroke(call) {
 		failure = kind.Newf(kind.TargetCrashed, "the target ended while it ran the request: %s", failure.Detail)
--- a/mesh/target_end.go
+++ b/mesh/target_end.go
@@ -50,10 +50,17 @@
 	return e.broken.Contains(r)
 }
 
-func (e *targetEnds) takeLast() []*quarantine.BrokenRun {
+func (e *targetEnds) take() []*quarantine.BrokenRun {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.broken.TakeLast(time.Now())
+	return e.broken.Take(time.Now())
+}
+
+// alive records that the target has completed a run that began at the given time.
+func (e *targetEnds) alive(at time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.broken.Alive(at)
 }
 
 // reportOf returns the encoded entry about the last end that holds a request, or nil.
@@ -103,7 +110,7 @@
 		return false
 	}
 	report := n.target.report(time.Now())
-	runs := n.ends.takeLast()
+	runs := n.ends.take()
 	if report.State == registration.Draining || report.State == registration.Left {
 		return false
 	}
@@ -120,7 +127,7 @@
 	if before.TargetID == after.TargetID && before.StartedAtMs == after.StartedAtMs {
 		return
 	}
-	runs := n.ends.takeLast()
+	runs := n.ends.take()
 	for _, call := range n.inFlight.startedBefore(time.UnixMilli(after.StartedAtMs)) {
 		runs = append(runs, &quarantine.BrokenRun{Fingerprint: call.Fingerprint, RequestID: call.ID})
 	}
--- a/quarantine/broken_runs.go
+++ b/quarantine/broken_runs.go
@@ -6,9 +6,6 @@
 )
 
 const (
-	// breakInterval bounds the time within which the connections of one process
-	// break when it ends.
-	breakInterval = 250 * time.Millisecond
 	// maxBreakAge bounds the time from the end of a target's process to the first
 	// report of the next one.
 	maxBreakAge = 15 * time.Second
@@ -43,17 +40,18 @@
 // Contains reports whether r has been added and not been taken.
 func (b *BrokenRuns) Contains(r *BrokenRun) bool { return slices.Contains(b.runs, r) }
 
-// TakeLast removes all runs and returns those that broke last, at about the same
-// time. They were at work when the process of the target ended, if it has.
-func (b *BrokenRuns) TakeLast(now time.Time) []*BrokenRun {
+// Alive drops the runs that broke before at: the process of the target has begun a run
+// at that time and completed it.
+func (b *BrokenRuns) Alive(at time.Time) {
+	if len(b.runs) > 0 {
+		b.runs = slices.DeleteFunc(b.runs, func(r *BrokenRun) bool { return r.At.Before(at) })
+	}
+}
+
+// Take removes and returns the runs that broke since the process of the target was
+// last known as alive. If it has ended, they were at work then or came later.
+func (b *BrokenRuns) Take(now time.Time) []*BrokenRun {
 	all := b.runs
 	b.runs = nil
-	if len(all) == 0 {
-		return nil
-	}
-	last := all[len(all)-1].At
-	if now.Sub(last) > maxBreakAge {
-		return nil
-	}
-	return slices.DeleteFunc(all, func(r *BrokenRun) bool { return last.Sub(r.At) > breakInterval })
+	return slices.DeleteFunc(all, func(r *BrokenRun) bool { return now.Sub(r.At) > maxBreakAge })
 }
