Read the limit and the departure that a target announces in its answers

Server-Limit and Server-Leaving were not read anywhere, so no line or metric could tell a target's own share from one above its limit.

The fields are decoded in platform's header names and httpconn: a decimal number without sign and exponent of at most 32 characters; other text neither sets nor ends a limit. A limit ends with the answer to a run that began after it was announced and names none. Lines and a gauge show both.

--- a/httpconn/header_names.go
+++ b/httpconn/header_names.go
@@ -19,4 +19,9 @@
 	NotRun string
 	// TargetLoad holds the counts of running requests, waiting requests and slots.
 	TargetLoad string
+	// RateLimit holds the requests per second that a target takes from all nodes
+	// together, for as long as its responses name it.
+	RateLimit string
+	// Leaving marks the responses of a target that is about to leave.
+	Leaving string
 }
--- a/httpconn/target.go
+++ b/httpconn/target.go
@@ -225,6 +225,7 @@
 		NotRun:      h.Get(names.NotRun) != "",
 		Misdirected: p.response.StatusCode == http.StatusMisdirectedRequest,
 		Load:        parseTargetLoad(h.Get(names.TargetLoad)),
+		Notice:      parseTargetNotice(h, names),
 	}
 	if !r.NotRun && !r.Misdirected && h.Get(names.Seal) == "" {
 		p.bodyMemory.Release()
--- a/httpconn/target_response.go
+++ b/httpconn/target_response.go
@@ -12,4 +12,6 @@
 	Misdirected bool
 	// Load is nil if the target does not report it.
 	Load *TargetLoad
+	// Notice is what the target announces about itself.
+	Notice TargetNotice
 }
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -11,6 +11,7 @@
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/limit"
 	"github.com/goldcrestsail/goldcrestsail/message"
+	"github.com/goldcrestsail/goldcrestsail/registration"
 )
 
 // targetAnswerMargin is how long after its deadline the answer of a target is awaited:
@@ -55,7 +56,7 @@
 	answered := false
 	defer func() { begun.End(answered) }()
 	// The target may have announced its departure while the request was queued.
-	targetID, failure := n.target.acceptsWork(time.Now())
+	report, failure := n.target.acceptsWork(time.Now())
 	if failure != nil {
 		n.gate.Release(id, nil)
 		return &message.Reply{Failure: failure}
@@ -70,7 +71,7 @@
 	entry := n.inFlight.add(time.Now(), &bounded)
 	sent := bounded
 	sent.Deadline = entry.deadline
-	response, failure := n.sendToTarget(ctx, &sent, targetID, answerBy.Add(targetAnswerMargin))
+	response, failure := n.sendToTarget(ctx, &sent, report, answerBy.Add(targetAnswerMargin))
 	if answered = failure == nil; answered {
 		n.ends.alive(entry.started)
 	}
@@ -118,23 +119,27 @@
 // sendToTarget sends a request to the target. An idempotent request is canceled
 // when its caller disconnects; an unsafe one continues, since it may already
 // have had an effect. The response is awaited until answerBy.
-func (n *Node) sendToTarget(ctx context.Context, call *message.Call, targetID string, answerBy time.Time) (*httpconn.TargetResponse, *kind.Error) {
+func (n *Node) sendToTarget(ctx context.Context, call *message.Call, report registration.Report, answerBy time.Time) (*httpconn.TargetResponse, *kind.Error) {
 	parent := ctx
 	if call.Unsafe {
 		parent = context.WithoutCancel(ctx)
 	}
 	sendCtx, cancel := context.WithDeadline(parent, answerBy)
 	defer cancel()
-	response, failure := n.client.Do(sendCtx, call, targetID)
+	began := time.Now()
+	response, failure := n.client.Do(sendCtx, call, report.TargetID)
 	if failure != nil {
 		return nil, failure
 	}
+	if !response.Misdirected {
+		n.observeNotice(began, report, response.Notice)
+	}
 	if response.Load != nil {
 		n.gate.ObserveReport(time.Now(), limit.Report{Healthy: true, Capacity: response.Load.Slots})
 	}
 	switch {
 	case response.Misdirected:
-		return nil, kind.Newf(kind.Starting, "another target than %s has its address", targetID)
+		return nil, kind.Newf(kind.Starting, "another target than %s has its address", report.TargetID)
 	case response.NotRun:
 		return nil, kind.Newf(kind.TargetRefused, "the target refused the request with status %d", response.Status)
 	}
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -45,6 +45,12 @@
 	gauge("target_running", func() float64 { s, _ := n.gate.Stats(); return float64(s.Running) })
 	gauge("target_waiting", func() float64 { s, _ := n.gate.Stats(); return float64(s.Waiting) })
 	gauge("target_limit", func() float64 { s, _ := n.gate.Stats(); return float64(s.Limit) })
+	gauge("target_announced_rate", func() float64 {
+		if rate, limited := n.notice.limit(); limited {
+			return rate
+		}
+		return -1
+	})
 	gauge("cutoff", func() float64 { return float64(n.gate.Cutoff()) })
 	gauge("members", func() float64 { return float64(countPresent(n.gossip.Members())) })
 	gauge("store_in_touch", func() float64 { return boolGauge(n.storeReachable.Load()) })
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -73,6 +73,7 @@
 	crashes       *crashguard.Guard
 	lostPeers     lostPeers
 	trialReports  trialReports
+	notice        targetNotice
 	directory     *directory.Directory
 	peers         *peerlink.Pool
 	budgets       *budgets
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -37,20 +37,20 @@
 	return t.tracker.Current(now)
 }
 
-// acceptsWork returns the ID of the target if it may get work.
-func (t *target) acceptsWork(now time.Time) (string, *kind.Error) {
+// acceptsWork returns the report of the target if it may get work.
+func (t *target) acceptsWork(now time.Time) (registration.Report, *kind.Error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.tracker.Current(now)
 	switch {
 	case r.State == registration.Draining || r.State == registration.Left:
-		return "", kind.Newf(kind.Draining, "target %s is %s", r.TargetID, r.State)
+		return registration.Report{}, kind.Newf(kind.Draining, "target %s is %s", r.TargetID, r.State)
 	case r.State == registration.Unknown:
-		return "", kind.New(kind.Starting, "the target has not reported")
+		return registration.Report{}, kind.New(kind.Starting, "the target has not reported")
 	case !t.departuresKnown:
-		return "", kind.New(kind.Starting, "the departures of the target are not known yet")
+		return registration.Report{}, kind.New(kind.Starting, "the departures of the target are not known yet")
 	}
-	return r.TargetID, nil
+	return r, nil
 }
 
 // applyReport applies a report. It returns the current report before and after,
