Admit requests to a target by an announced rate

Every request to a target passes the queue of the node beside it, so a bound there is exact without agreement. The queue admits by rank as before, and only as the rate allows: in any time t at most one request plus the rate times t and half a second. What the rate would keep waiting beyond its time, behind requests of at least its importance, is refused at once with the new kind rate-limited, which a caller's node sends to another target. A rate is no concurrency limit: the limiter's slots stay, and the load and the cutoff that are reported follow from the lower of both.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -4,12 +4,13 @@
 	"time"
 
 	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/policy"
 )
 
-// Queue admits requests to one target under a concurrency limit, in strict
-// order of rank. Within a rank the order is first in, first out. Under a standing
-// queue it is last in, first out, since the caller of the newest request is the
-// most likely to be still waiting.
+// Queue admits requests to one target under a concurrency limit and, if the target has
+// announced one, a limit of requests per second, in strict order of rank. Within a rank
+// the order is first in, first out. Under a standing queue it is last in, first out,
+// since the caller of the newest request is the most likely to be still waiting.
 //
 // Two invariants hold for classes of different importance. A request is never
 // admitted while a more important one waits. And a request is never refused
@@ -18,7 +19,8 @@
 // the queue timeout all less important ones are shed before it. A request whose
 // deadline can no longer be met is refused without shedding others, since free
 // capacity would not help it and a caller with short deadlines must not be able
-// to empty the queue.
+// to empty the queue. Neither does a request that the rate would keep waiting too long
+// behind those of at least its importance.
 //
 // Operations take constant time per decision returned, plus an update of the
 // expiry heap that is logarithmic in the number of waiting requests.
@@ -27,13 +29,16 @@
 type Queue struct {
 	config  Config
 	limit   int
+	rate    rateLimit
 	running map[ID]struct{}
 	waiting map[ID]int32
-	slab    []waiter
-	free    []int32
-	buckets [MaxRank + 1]bucket
-	ranks   rankSet
-	heap    []int32
+	// waitingByImportance counts the waiting requests.
+	waitingByImportance [policy.MaxImportance + 1]int
+	slab                []waiter
+	free                []int32
+	buckets             [MaxRank + 1]bucket
+	ranks               rankSet
+	heap                []int32
 	// emptySince is when the queue became empty or, while requests wait, when it
 	// stopped being empty.
 	emptySince time.Time
@@ -81,10 +86,14 @@
 			w.expires, w.cause = latestStart, kind.DeadlineExpired
 		}
 	}
-	if len(q.running) < q.limit && len(q.waiting) == 0 {
+	if len(q.running) < q.limit && len(q.waiting) == 0 && q.rate.allows(now) {
 		q.admit(now, w)
 		return q.admitAndFlush(now)
 	}
+	if q.rate.perSecond > 0 && now.Add(q.rate.wait(now, q.waitingBefore(r.Rank))).After(w.expires) {
+		q.refuse(now, w, kind.RateLimited)
+		return q.admitAndFlush(now)
+	}
 	if !w.expires.After(now) {
 		// The request could have started only now.
 		q.refuse(now, w, w.cause)
@@ -133,6 +142,31 @@
 	return q.Expire(now)
 }
 
+// SetRate replaces the limit of admitted requests per second; 0 removes it. A rate below
+// MinRatePerSecond counts as that.
+func (q *Queue) SetRate(now time.Time, perSecond float64) []Decision {
+	q.rate.set(now, perSecond)
+	return q.Expire(now)
+}
+
+// NextAdmission returns when Expire has to be called since the rate allows the next
+// request, or false if no request waits for that.
+func (q *Queue) NextAdmission(now time.Time) (time.Time, bool) {
+	if q.rate.perSecond == 0 || len(q.waiting) == 0 || len(q.running) >= q.limit {
+		return time.Time{}, false
+	}
+	return now.Add(q.rate.wait(now, 0)), true
+}
+
+// waitingBefore returns the number of waiting requests of at least the importance of a
+// rank.
+func (q *Queue) waitingBefore(r Rank) (n int) {
+	for _, waiting := range q.waitingByImportance[:r.Importance()+1] {
+		n += waiting
+	}
+	return n
+}
+
 // NextExpiry returns the time at which Expire has to be called, or false when no
 // request waits.
 func (q *Queue) NextExpiry() (time.Time, bool) {
@@ -174,7 +208,7 @@
 // admitAndFlush admits as many requests as there are free slots and returns all
 // decisions made since the last call.
 func (q *Queue) admitAndFlush(now time.Time) []Decision {
-	for len(q.running) < q.limit && len(q.waiting) > 0 {
+	for len(q.running) < q.limit && len(q.waiting) > 0 && q.rate.allows(now) {
 		index := q.nextToAdmit(now)
 		w := q.slab[index]
 		q.remove(now, index)
@@ -187,6 +221,7 @@
 
 func (q *Queue) admit(now time.Time, w waiter) {
 	q.running[w.id] = struct{}{}
+	q.rate.take()
 	q.level.recordAdmitted(w.rank)
 	q.decisions = append(q.decisions, Decision{ID: w.id, Rank: w.rank, Waited: now.Sub(w.arrived)})
 }
@@ -248,6 +283,7 @@
 	}
 	b.newest = index
 	q.waiting[w.id] = index
+	q.waitingByImportance[w.rank.Importance()]++
 	q.heapPush(index)
 	q.level.sawWaiting = true
 }
@@ -270,6 +306,7 @@
 		q.ranks.remove(w.rank)
 	}
 	delete(q.waiting, w.id)
+	q.waitingByImportance[w.rank.Importance()]--
 	q.free = append(q.free, index)
 	if len(q.waiting) == 0 {
 		q.emptySince = now
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -51,6 +52,9 @@
 	started     map[admission.ID]time.Time
 	meanHold    float64
 	holdSamples int
+	// rate is the number of requests per second that the target has announced to take,
+	// 0 if it has not announced any.
+	rate float64
 }
 
 // New returns a gate with one slot.
@@ -97,6 +101,18 @@
 	g.deliverLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
 }
 
+// SetRate sets the number of requests per second that the target has announced to
+// take; 0 removes that limit.
+func (g *Gate) SetRate(now time.Time, perSecond float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if perSecond > 0 {
+		perSecond = max(perSecond, admission.MinRatePerSecond)
+	}
+	g.rate = perSecond
+	g.deliverLocked(now, g.queue.SetRate(now, perSecond))
+}
+
 // Acquire waits for a slot. An error has the run state not-run.
 func (g *Gate) Acquire(ctx context.Context, r Request) (admission.ID, *kind.Error) {
 	now := time.Now()
@@ -160,13 +176,26 @@
 	g.deliverLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
 }
 
-// capacityLocked returns the requests per second that a number of slots can
-// serve, or 0 when unknown.
+// capacityLocked returns the requests per second that the target takes with a number of
+// slots, or 0 when unknown.
 func (g *Gate) capacityLocked(slots int) float64 {
 	if g.meanHold <= 0 {
-		return 0
+		return g.rate
+	}
+	capacity := float64(slots) / g.meanHold
+	if g.rate > 0 {
+		return min(capacity, g.rate)
 	}
-	return float64(slots) / g.meanHold
+	return capacity
+}
+
+// usedSlotsLocked returns the number of slots that are in use when the target takes
+// all requests that its limits allow, one at least.
+func (g *Gate) usedSlotsLocked(slots int) int {
+	if g.rate == 0 || g.meanHold <= 0 {
+		return slots
+	}
+	return min(slots, max(1, int(math.Round(g.rate*g.meanHold))))
 }
 
 // SetAppliedCutoff sets the cutoff that is currently applied to new chains.
@@ -204,7 +233,7 @@
 		reported--
 	}
 	return &message.Load{
-		Running: uint32(stats.Running), Waiting: uint32(stats.Waiting), Limit: uint32(stats.Limit),
+		Running: uint32(stats.Running), Waiting: uint32(stats.Waiting), Limit: uint32(g.usedSlotsLocked(stats.Limit)),
 		Level: uint32(stats.Level), Cutoff: float64(g.controller.Cutoff()), ServiceTime: g.limiter.ServiceTime(),
 		ByImportance: append([]uint32(nil), g.byImportance[:reported]...),
 	}
@@ -243,7 +272,7 @@
 		g.limiter.Tick(now)
 		stats := g.queue.Stats(now)
 		g.controller.Tick(now, pressure.Input{
-			Capacity: g.capacityLocked(stats.Limit), Slots: stats.Limit, Waiting: stats.Waiting, AppliedCutoff: g.appliedCutoff,
+			Capacity: g.capacityLocked(stats.Limit), Slots: g.usedSlotsLocked(stats.Limit), Waiting: stats.Waiting, AppliedCutoff: g.appliedCutoff,
 		})
 	}
 	g.deliverLocked(now, g.queue.Expire(now))
@@ -270,6 +299,9 @@
 	if next, ok := g.queue.NextExpiry(); ok && next.Before(wake) {
 		wake = next
 	}
+	if next, ok := g.queue.NextAdmission(now); ok && next.Before(wake) {
+		wake = next
+	}
 	g.timer.Reset(max(wake.Sub(now), 0))
 }
 
--- a/kind/kind.go
+++ b/kind/kind.go
@@ -20,6 +20,7 @@
 	Shed               Kind = "shed"
 	ShedEarly          Kind = "shed-early"
 	QueueTimeout       Kind = "queue-timeout"
+	RateLimited        Kind = "rate-limited"
 	DeadlineExpired    Kind = "deadline-expired"
 	NoTarget           Kind = "no-target"
 	Draining           Kind = "draining"
--- a/kind/table.go
+++ b/kind/table.go
@@ -28,6 +28,7 @@
 	Shed:               {http.StatusServiceUnavailable, true, NotRun, retryAfterOverload, "Repeat later; the service is overloaded."},
 	ShedEarly:          {http.StatusServiceUnavailable, false, NotRun, retryAfterOverload, "Repeat later; a service this request needs is overloaded."},
 	QueueTimeout:       {http.StatusServiceUnavailable, true, NotRun, retryAfterOverload, "Repeat later; the request waited too long."},
+	RateLimited:        {http.StatusServiceUnavailable, true, NotRun, retryAfterOverload, "Repeat later; the target has announced how many requests a second it takes."},
 	DeadlineExpired:    {http.StatusGatewayTimeout, false, MayHaveRun, 0, "Check the run state before repeating."},
 	NoTarget:           {http.StatusServiceUnavailable, false, NotRun, retryAfterOutage, "Repeat later; no target of the service is ready."},
 	Draining:           {http.StatusServiceUnavailable, true, NotRun, retryAfterOverload, "Repeat; another target takes it."},
