Keep to the limit that a target announces

What callers and targets saw: a target in need got its usual share, up to seven times what it had announced to take.

The node beside the target sets the rate of its queue by the target's answers, whichever they are; all nodes' requests pass there. The entry nodes learn it with the reply and send it along with their calls, by the address of the node and the identity of the target's process, so that a node that has been restarted beside the target knows it before the first answer. The limit ends with an answer that names none to a run that began 0.2 s after the last that did, and with the process. A rate below 0.2 a second counts as that, since a target that gets nothing cannot say that it takes more. Calls that are refused for the rate go to other targets, count as one arrival, and steer like other refusals.

TestStartedNodeAdoptsLimitFromCalls fails without the adoption.

--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -23,13 +23,14 @@
 	n.inProgress.Add(1)
 	defer n.inProgress.Add(-1)
 	call.Fingerprint = fingerprintOf(&call.Request)
+	n.adoptNotice(call.Notice)
 	return n.execute(ctx, call)
 }
 
 // execute executes a call on the local target.
 func (n *Node) execute(ctx context.Context, call *message.Call) *message.Reply {
 	reply := n.admitAndExecute(ctx, call)
-	reply.Load = n.gate.Load()
+	reply.Load, reply.Notice = n.gate.Load(), n.notice.message()
 	if reply.Failure != nil {
 		n.logUnansweredCall(call, reply)
 	}
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -113,10 +113,12 @@
 func (n *Node) callPeer(ctx context.Context, address string, call *message.Call) *message.Reply {
 	sent := *call
 	sent.Deadline = call.Deadline.Add(-replyMargin)
+	sent.Notice = n.peerNotices.get(time.Now(), address)
 	reply, failure := n.peers.Get(address).Call(ctx, &sent)
 	if failure != nil {
 		return &message.Reply{Failure: failure}
 	}
+	n.peerNotices.observe(time.Now(), address, reply.Notice)
 	return reply
 }
 
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -74,6 +74,7 @@
 	lostPeers     lostPeers
 	trialReports  trialReports
 	notice        targetNotice
+	peerNotices   peerNotices
 	directory     *directory.Directory
 	peers         *peerlink.Pool
 	budgets       *budgets
--- a/mesh/repeat.go
+++ b/mesh/repeat.go
@@ -11,7 +11,7 @@
 
 const (
 	// maxNotSent bounds the attempts that reach no target, for example because
-	// the node has stopped or refuses work.
+	// the node has stopped or the target takes fewer requests.
 	maxNotSent = 4
 	// maxRefusals bounds how often a request is retried after refusals by
 	// targets. If half of all attempts are refused, one request in 256 reaches
@@ -61,6 +61,10 @@
 	}
 	if failure != nil && notRun && !reachedTarget(failure) {
 		f.notSent++
+		if failure.Kind == kind.RateLimited {
+			// The request has been counted as an arrival at that target.
+			q.call.Repeat = true
+		}
 		return f.notSent < maxNotSent && !overloaded(failure)
 	}
 	if failure != nil && notRun {
--- a/mesh/target_notice.go
+++ b/mesh/target_notice.go
@@ -1,52 +1,100 @@
 package mesh
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/goldcrestsail/goldcrestsail/admission"
 	"github.com/goldcrestsail/goldcrestsail/httpconn"
+	"github.com/goldcrestsail/goldcrestsail/message"
 	"github.com/goldcrestsail/goldcrestsail/registration"
 )
 
+// limitEndMargin is how long after the last response that named a limit a run has to
+// have begun for its response, which names none, to end the limit. Responses that were
+// made before the limit do not end it, nor do single ones in between.
+const limitEndMargin = 200 * time.Millisecond
+
 // targetNotice holds what the local target announces in its responses. It is safe for
 // concurrent use.
 type targetNotice struct {
 	mu sync.Mutex
-	// targetID and born identify the process that has announced it.
-	targetID string
-	born     int64
+	// target identifies the process that has announced it, born is its start.
+	target uint64
+	born   int64
+	// answered reports that this node has seen a response of that process.
+	answered bool
 	limited  bool
 	rate     float64
-	// since is when the limit was last changed.
-	since   time.Time
-	leaving bool
+	// namedAt is when the limit was last named.
+	namedAt time.Time
+}
+
+// targetIdentity returns the identity of the process that sent a report.
+func targetIdentity(r registration.Report) uint64 {
+	return xxhash.Sum64String(r.TargetID + " " + strconv.FormatInt(r.StartedAtMs, 10))
 }
 
 // observe records the notice in the response to a run that began at the given time,
-// and reports what has changed. Only a response to a run that began after the limit
-// was announced can end it: others may have been made before.
-func (t *targetNotice) observe(now, began time.Time, report registration.Report, notice httpconn.TargetNotice) (limitChanged, nowLeaving bool) {
+// and reports whether the limit has changed.
+func (t *targetNotice) observe(now, began time.Time, report registration.Report, notice httpconn.TargetNotice) (limitChanged bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.targetID != report.TargetID || t.born != report.StartedAtMs {
-		if report.StartedAtMs < t.born {
-			return false, false
-		}
-		limitChanged = t.limited
-		t.targetID, t.born, t.limited, t.rate, t.leaving = report.TargetID, report.StartedAtMs, false, 0, false
+	current, changed := t.selectLocked(report)
+	if !current {
+		return false
 	}
+	t.answered = true
 	switch {
-	case notice.Limited && (!t.limited || t.rate != notice.RatePerSecond):
-		t.limited, t.rate, t.since = true, notice.RatePerSecond, now
-		limitChanged = true
-	case !notice.Limited && !notice.RateUnreadable && t.limited && began.After(t.since):
-		t.limited, t.rate, t.since = false, 0, now
-		limitChanged = true
+	case notice.Limited:
+		changed = changed || !t.limited || t.rate != notice.RatePerSecond
+		t.limited, t.rate, t.namedAt = true, notice.RatePerSecond, now
+	case t.limited && !notice.RateUnreadable && began.Sub(t.namedAt) > limitEndMargin:
+		changed = true
+		t.limited, t.rate = false, 0
+	}
+	return changed
+}
+
+// selectLocked resets the notice if it is that of an earlier process. It reports
+// whether the process that sent the report is the current one, and whether a limit has
+// ended.
+func (t *targetNotice) selectLocked(report registration.Report) (current, limitEnded bool) {
+	target := targetIdentity(report)
+	if t.target == target {
+		return true, false
 	}
-	if notice.Leaving && !t.leaving {
-		t.leaving, nowLeaving = true, true
+	if report.StartedAtMs < t.born {
+		return false, false
+	}
+	limitEnded = t.limited
+	t.target, t.born, t.answered, t.limited, t.rate = target, report.StartedAtMs, false, false, 0
+	return true, limitEnded
+}
+
+// forget drops the limit of an earlier process than the one that sent the report, and
+// reports whether there was one.
+func (t *targetNotice) forget(report registration.Report) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, limitEnded := t.selectLocked(report)
+	return limitEnded
+}
+
+// adopt takes over the limit that a peer knows, unless this node has seen a response
+// of the process itself. It reports whether the limit has changed.
+func (t *targetNotice) adopt(now time.Time, report registration.Report, notice *message.TargetNotice) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	current, changed := t.selectLocked(report)
+	if !current || t.answered || notice.RatePerSecond <= 0 || t.limited && t.rate == notice.RatePerSecond {
+		return changed
 	}
-	return limitChanged, nowLeaving
+	t.limited, t.rate, t.namedAt = true, notice.RatePerSecond, now
+	return true
 }
 
 // limit returns the requests per second that the target takes, if it has announced a
@@ -57,18 +105,50 @@
 	return t.rate, t.limited
 }
 
+// message returns the notice for peers, nil if there is nothing to tell.
+func (t *targetNotice) message() *message.TargetNotice {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.limited {
+		return nil
+	}
+	return &message.TargetNotice{Target: t.target, RatePerSecond: max(t.rate, admission.MinRatePerSecond)}
+}
+
 // observeNotice records what the target announces in a response.
 func (n *Node) observeNotice(began time.Time, report registration.Report, notice httpconn.TargetNotice) {
 	if notice.RateUnreadable {
 		n.logLimited("limit of the target not readable", "target", report.TargetID, "text", notice.InvalidRate)
 	}
-	limitChanged, nowLeaving := n.notice.observe(time.Now(), began, report, notice)
-	if limitChanged {
-		rate, limited := n.notice.limit()
-		arrivals, _ := n.gate.Demand()
-		n.logLimited("limit of the target changed", "target", report.TargetID, "born", report.StartedAtMs, "limited", limited, "rate_per_s", rate, "arrivals_per_s", arrivals)
+	if n.notice.observe(time.Now(), began, report, notice) {
+		n.applyTargetLimit(report, "answer")
 	}
-	if nowLeaving {
-		n.log.Info("target announces in a response that it leaves", "target", report.TargetID, "born", report.StartedAtMs, "state", report.State.String())
+}
+
+// adoptNotice takes over what the sender of a call knows about the local target: this
+// node may have been restarted since the target announced it.
+func (n *Node) adoptNotice(notice *message.TargetNotice) {
+	if notice == nil {
+		return
+	}
+	report := n.target.report(time.Now())
+	if notice.Target != targetIdentity(report) {
+		return
+	}
+	if n.notice.adopt(time.Now(), report, notice) {
+		n.applyTargetLimit(report, "peer")
+	}
+}
+
+// applyTargetLimit puts the announced limit in force.
+func (n *Node) applyTargetLimit(report registration.Report, source string) {
+	rate, limited := n.notice.limit()
+	arrivals, _ := n.gate.Demand()
+	inForce := 0.0
+	if limited {
+		inForce = max(rate, admission.MinRatePerSecond)
 	}
+	n.gate.SetRate(time.Now(), inForce)
+	n.logLimited("limit of the target changed", "target", report.TargetID, "born", report.StartedAtMs, "source", source,
+		"limited", limited, "rate_per_s", rate, "arrivals_per_s", arrivals)
 }
--- /dev/null
+++ b/mesh/target_notice_test.go
@@ -0,0 +1,62 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/goldcrestsail/goldcrestsail/httpconn"
+	"github.com/goldcrestsail/goldcrestsail/message"
+	"github.com/goldcrestsail/goldcrestsail/registration"
+)
+
+// Guards against a node that has been restarted beside a limited target and sends it
+// as much as its slots hold until it has seen an answer. What peers know holds only for
+// the same process of the target, and until the target answers itself.
+func TestStartedNodeAdoptsLimitFromCalls(t *testing.T) {
+	n := startDrainTestNode(t, "127.0.0.78:29489")
+	inForce := func() float64 { _, capacity := n.gate.Demand(); return capacity }
+	report := n.target.report(time.Now())
+	call := func(target uint64, rate float64) {
+		n.servePeer(t.Context(), &message.Call{Service: "s", Request: message.Request{Deadline: time.Now().Add(time.Second)},
+			Notice: &message.TargetNotice{Target: target, RatePerSecond: rate}})
+	}
+	call(targetIdentity(report)+1, 3)
+	require.Zero(t, inForce(), "that is another process")
+	call(targetIdentity(report), 3)
+	require.EqualValues(t, 3, inForce())
+	require.Equal(t, &message.TargetNotice{Target: targetIdentity(report), RatePerSecond: 3}, n.notice.message())
+	call(targetIdentity(report), 2)
+	require.EqualValues(t, 2, inForce())
+
+	n.observeNotice(time.Now().Add(time.Second), report, httpconn.TargetNotice{})
+	require.Zero(t, inForce(), "the target names none")
+	call(targetIdentity(report), 2)
+	require.Zero(t, inForce(), "the target itself has answered")
+
+	n.observeNotice(time.Now(), report, httpconn.TargetNotice{Limited: true, RatePerSecond: 0})
+	require.Positive(t, inForce(), "a target that gets nothing cannot say that it takes more")
+	next := registration.Report{TargetID: "t", StartedAtMs: 2, Seq: 1, State: registration.Ready, Service: "s", Slots: 1}
+	require.NoError(t, n.ReportTarget(t.Context(), next))
+	require.Zero(t, inForce(), "another process has started")
+}
+
+// Guards against a limit that ends by an answer which the target made before it
+// announced the limit, by single answers in between, or by a number that is none.
+func TestLimitEndsOnlyByLaterAnswer(t *testing.T) {
+	var notice targetNotice
+	report := registration.Report{TargetID: "t", StartedAtMs: 1}
+	now := time.Now()
+	limited := httpconn.TargetNotice{Limited: true, RatePerSecond: 5}
+	require.True(t, notice.observe(now, now.Add(-time.Second), report, limited))
+	require.False(t, notice.observe(now.Add(time.Second), now.Add(-time.Millisecond), report, httpconn.TargetNotice{}))
+	require.False(t, notice.observe(now.Add(time.Second), now.Add(limitEndMargin), report, httpconn.TargetNotice{}))
+	require.False(t, notice.observe(now.Add(time.Second), now.Add(time.Second), report, httpconn.TargetNotice{RateUnreadable: true}))
+	require.False(t, notice.observe(now.Add(2*time.Second), now.Add(time.Second), report, limited))
+	require.False(t, notice.observe(now.Add(2*time.Second), now.Add(time.Second), report, httpconn.TargetNotice{}))
+	require.True(t, notice.observe(now.Add(3*time.Second), now.Add(2*time.Second+2*limitEndMargin), report, httpconn.TargetNotice{}))
+	_, stillLimited := notice.limit()
+	require.False(t, stillLimited)
+	require.False(t, notice.observe(now, now, registration.Report{TargetID: "t"}, limited), "an answer of an earlier process")
+}
--- a/mesh/target_reports.go
+++ b/mesh/target_reports.go
@@ -43,6 +43,9 @@
 		n.service.Store(&after.Service)
 	}
 	n.noteNewProcess(before, after)
+	if n.notice.forget(after) {
+		n.applyTargetLimit(after, "report of a new process")
+	}
 	if before.State != after.State || before.TargetID != after.TargetID || before.StartedAtMs != after.StartedAtMs {
 		n.log.Info("target state changed", "target", after.TargetID, "born", after.StartedAtMs, "seq", after.Seq,
 			"state", after.State.String(), "before", before.State.String(), "slots", after.Slots, "cold_for", after.ColdStartRemaining.String())
--- a/message/call.go
+++ b/message/call.go
@@ -29,6 +29,9 @@
 	// KnownCrashes is the number of crashes of targets that the sender attributes to
 	// the request.
 	KnownCrashes int
+	// Notice is what the target has announced about itself, nil if nothing. The node
+	// beside the target may have been restarted since.
+	Notice *TargetNotice
 	// MaxWait limits the queueing time at the target's node; 0 applies that
 	// node's own limit.
 	MaxWait time.Duration
--- a/message/reply.go
+++ b/message/reply.go
@@ -23,6 +23,8 @@
 	// CrashReport is the encoded quarantine.Entry about the crash of the target under
 	// the request, empty if there was none.
 	CrashReport []byte
+	// Notice is what the target has announced about itself, nil if nothing.
+	Notice *TargetNotice
 	// DependencyFailed reports that a sub-call was refused or failed, so that a
 	// failure of the request is no evidence against the target.
 	DependencyFailed bool
--- a/peerlink/encode_call.go
+++ b/peerlink/encode_call.go
@@ -26,6 +26,7 @@
 	callMaxWait
 	callRepeat
 	callKnownCrashes
+	callNotice
 )
 
 // appendCall encodes a call without its body. The deadline is sent as the time left
@@ -44,6 +45,7 @@
 	b = appendUint(b, callChainLevel, uint64(c.ChainLevel))
 	b = appendUint(b, callMaxWait, uint64(max(0, c.MaxWait.Microseconds())))
 	b = appendBool(b, callRepeat, c.Repeat)
+	b = appendNotice(b, callNotice, c.Notice)
 	b = appendUint(b, callKnownCrashes, uint64(max(0, c.KnownCrashes)))
 	return appendBool(b, callAdmitted, c.Admitted)
 }
@@ -105,6 +107,10 @@
 			c.Service = t.addReceived(v)
 		case callCallerService:
 			c.CallerService = t.addReceived(v)
+		case callNotice:
+			var err error
+			c.Notice, err = decodeNotice(v)
+			return err
 		case callHeader:
 			return t.decodeHeader(v, &c.Header)
 		}
--- a/peerlink/encode_reply.go
+++ b/peerlink/encode_reply.go
@@ -32,6 +32,7 @@
 	replyDependencyFailed
 	replyOwnTime
 	replyCrashReport
+	replyNotice
 )
 
 // Field numbers of a message.ServiceCutoff and of a message.Visit.
@@ -86,6 +87,7 @@
 		inner = appendUint(inner, cutoffAge, uint64(max(0, c.Age.Milliseconds())))
 		b = appendBytes(b, replyCutoffs, inner)
 	}
+	b = appendNotice(b, replyNotice, r.Notice)
 	if len(r.CrashReport) > 0 {
 		b = appendBytes(b, replyCrashReport, r.CrashReport)
 	}
@@ -156,6 +158,10 @@
 				load.ByImportance = append(load.ByImportance, uint32(n))
 				v = v[size:]
 			}
+		case replyNotice:
+			var err error
+			r.Notice, err = decodeNotice(v)
+			return err
 		case replyCrashReport:
 			r.CrashReport = bytes.Clone(v)
 		case replyVisited:
--- a/peerlink/peerlink_test.go
+++ b/peerlink/peerlink_test.go
@@ -68,7 +68,10 @@
 	}), 0, 4)
 	c := &message.Call{Service: "s" + text.Draw(t, "service"), CallerService: text.Draw(t, "caller"), Unsafe: rapid.Bool().Draw(t, "unsafe"),
 		Importance: rapid.Uint8().Draw(t, "importance"), ChainLevel: rapid.Uint8().Draw(t, "level"), Admitted: rapid.Bool().Draw(t, "admitted"), Repeat: rapid.Bool().Draw(t, "repeat"),
-		MaxWait: time.Duration(rapid.IntRange(0, 1e6).Draw(t, "wait")) * time.Microsecond}
+		MaxWait: time.Duration(rapid.IntRange(0, 1e6).Draw(t, "wait")) * time.Microsecond, KnownCrashes: rapid.IntRange(0, maxKnownCrashes).Draw(t, "crashes")}
+	if rapid.Bool().Draw(t, "call has notice") {
+		c.Notice = &message.TargetNotice{Target: 5, RatePerSecond: 0.125, Leaving: true}
+	}
 	c.ID, c.Method, c.URI, c.Host = text.Draw(t, "id"), "M"+text.Draw(t, "method"), "/"+text.Draw(t, "uri"), text.Draw(t, "host")
 	c.Header, c.Body = header.Draw(t, "header"), rapid.SliceOf(rapid.Byte()).Draw(t, "body")
 	c.Arrived, c.Deadline = now, now.Add(time.Duration(rapid.IntRange(0, 1e9).Draw(t, "left"))*time.Microsecond)
@@ -86,6 +89,13 @@
 		r.Response = &message.Response{Status: rapid.IntRange(200, 599).Draw(t, "status"), FromTarget: true, Body: []byte{}, Header: header.Draw(t, "response header")}
 	}
 	r.Load = &message.Load{Running: 1, Waiting: rapid.Uint32().Draw(t, "waiting"), Limit: 3, Level: 4, Cutoff: 2.5, ServiceTime: time.Millisecond, ByImportance: []uint32{1, 0, 2}}
+	if rapid.Bool().Draw(t, "has notice") {
+		r.Notice = &message.TargetNotice{Target: rapid.Uint64().Draw(t, "target"), RatePerSecond: float64(rapid.IntRange(0, 1e6).Draw(t, "rate")) / 8, Leaving: rapid.Bool().Draw(t, "leaving")}
+	}
+	r.CrashReport = rapid.SliceOf(rapid.Byte()).Draw(t, "crash report")
+	if len(r.CrashReport) == 0 {
+		r.CrashReport = nil
+	}
 	r.OwnTime = time.Duration(rapid.IntRange(0, 1e6).Draw(t, "own time")) * time.Microsecond
 	r.Visited = []message.Visit{{Service: text.Draw(t, "visited"), Runs: rapid.Uint32Range(0, 1000).Draw(t, "runs")}}
 	r.Cutoffs = []message.ServiceCutoff{{Service: "b", Cutoff: 0.25, Age: 5 * time.Millisecond}}
--- a/routing/outlier.go
+++ b/routing/outlier.go
@@ -49,7 +49,7 @@
 			return failure
 		}
 		return success
-	case kind.Shed, kind.QueueTimeout, kind.TargetRefused:
+	case kind.Shed, kind.QueueTimeout, kind.RateLimited, kind.TargetRefused:
 		return refusal
 	case kind.DeadlineExpired:
 		if r.responded() {
