Send what exceeds a target's limit to the other targets

A cutoff of a limited target counts only if all ready targets of its service are limited. A call waits at a limited target for the queue timeout at most, then goes to another one; only one that others have refused may use its own time. The test of the cutoff fails without the rule, by reading: it expects AdmitAll where 0.5 is reported.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -19,8 +19,9 @@
 // the queue timeout all less important ones are shed before it. A request whose
 // deadline can no longer be met is refused without shedding others, since free
 // capacity would not help it and a caller with short deadlines must not be able
-// to empty the queue. Neither does a request that the rate would keep waiting too long
-// behind those of at least its importance.
+// to empty the queue. The same holds for a request that the rate would keep waiting too
+// long behind those of at least its importance: for the queue timeout, or for its own
+// time if other targets have refused it.
 //
 // Operations take constant time per decision returned, plus an update of the
 // expiry heap that is logarithmic in the number of waiting requests.
@@ -90,9 +91,17 @@
 		q.admit(now, w)
 		return q.admitAndFlush(now)
 	}
-	if q.rate.perSecond > 0 && now.Add(q.rate.wait(now, q.waitingBefore(r.Rank))).After(w.expires) {
-		q.refuse(now, w, kind.RateLimited)
-		return q.admitAndFlush(now)
+	if q.rate.perSecond > 0 {
+		if w.cause == kind.QueueTimeout {
+			w.cause, w.callerBound = kind.RateLimited, true
+		}
+		if waitUntil := now.Add(q.config.QueueTimeout); !r.Repeat && waitUntil.Before(w.expires) {
+			w.expires, w.cause = waitUntil, kind.RateLimited
+		}
+		if now.Add(q.rate.wait(now, q.waitingBefore(r.Rank))).After(w.expires) {
+			q.refuse(now, w, kind.RateLimited)
+			return q.admitAndFlush(now)
+		}
 	}
 	if !w.expires.After(now) {
 		// The request could have started only now.
--- a/admission/rate_test.go
+++ b/admission/rate_test.go
@@ -69,6 +69,18 @@
 	})
 }
 
+// Guards against a request that waits long at a limited target while others are free,
+// and against one that is refused at once although all targets are limited.
+func TestRateLetsRepeatsWaitLonger(t *testing.T) {
+	q := NewQueue(Config{QueueTimeout: 100 * time.Millisecond}, 10, epoch)
+	q.SetRate(epoch, 2)
+	q.Offer(epoch, Request{ID: 1, Rank: MinRank})
+	decisions := q.Offer(epoch, Request{ID: 2, Rank: MinRank, MaxWait: time.Second})
+	require.Len(t, decisions, 1)
+	require.Equal(t, kind.RateLimited, decisions[0].Refused)
+	require.Empty(t, q.Offer(epoch, Request{ID: 2, Rank: MinRank, MaxWait: time.Second, Repeat: true}))
+}
+
 // Guards against a queue of a limited target that fills with requests which will time
 // out, and against a limit that stays when it has been removed.
 func TestRateRefusesWhatWouldTimeOut(t *testing.T) {
--- a/admission/request.go
+++ b/admission/request.go
@@ -20,4 +20,6 @@
 	// deadline it is a bound set by the caller: a request that reaches it is
 	// refused without shedding less important ones.
 	MaxWait time.Duration
+	// Repeat reports that another target has refused the request.
+	Repeat bool
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -128,6 +128,22 @@
 	return e.address, ok
 }
 
+// ReadyTargets returns the IDs and the peer addresses of the ready targets of a
+// service.
+func (d *Directory) ReadyTargets(now time.Time, service string) map[routing.TargetID]string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ready := map[routing.TargetID]string{}
+	if table := d.tables[service]; table != nil {
+		for _, s := range table.Snapshot(now) {
+			if s.State == routing.Ready {
+				ready[s.ID] = d.endpoints[s.ID].address
+			}
+		}
+	}
+	return ready
+}
+
 // Snapshot returns the status of the targets of each service for a state dump.
 func (d *Directory) Snapshot(now time.Time) map[string][]routing.TargetStatus {
 	d.mu.Lock()
--- a/mesh/observe_reply.go
+++ b/mesh/observe_reply.go
@@ -17,16 +17,39 @@
 	if reply.Load == nil && len(reply.Cutoffs) == 0 {
 		return
 	}
+	cutoff := pressure.AdmitAll
+	if reply.Load != nil && !n.othersTakeMore(now, service, reply.Notice) {
+		cutoff = pressure.Cutoff(reply.Load.Cutoff)
+	}
 	n.chains.mu.Lock()
 	defer n.chains.mu.Unlock()
 	if reply.Load != nil {
-		n.chains.table.Observe(service, string(id), pressure.Cutoff(reply.Load.Cutoff), now)
+		n.chains.table.Observe(service, string(id), cutoff, now)
 	}
 	for _, c := range reply.Cutoffs {
 		n.chains.table.Observe(c.Service, string(id), pressure.Cutoff(c.Cutoff), now.Add(-c.Age))
 	}
 }
 
+// othersTakeMore reports whether a target has announced a limit and another one of its
+// service has not, as far as this node knows. Then its cutoff says nothing about the
+// service: what exceeds the limit goes to the others.
+func (n *Node) othersTakeMore(now time.Time, service string, notice *message.TargetNotice) bool {
+	if notice == nil || notice.RatePerSecond == 0 {
+		return false
+	}
+	for id, address := range n.directory.ReadyTargets(now, service) {
+		other := n.peerNotices.get(now, address)
+		if id == n.selfID() {
+			other = n.notice.message()
+		}
+		if other == nil || other.RatePerSecond == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // routingResult returns what a reply tells the target selection.
 func routingResult(q *request, latency time.Duration, reply *message.Reply) routing.Result {
 	result := routing.Result{Importance: int(q.call.Importance), Latency: latency}
--- a/mesh/target_notice_test.go
+++ b/mesh/target_notice_test.go
@@ -1,14 +1,19 @@
 package mesh
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
 	"github.com/goldcrestsail/goldcrestsail/httpconn"
+	"github.com/goldcrestsail/goldcrestsail/membership"
 	"github.com/goldcrestsail/goldcrestsail/message"
+	"github.com/goldcrestsail/goldcrestsail/pressure"
 	"github.com/goldcrestsail/goldcrestsail/registration"
+	"github.com/goldcrestsail/goldcrestsail/routing"
 )
 
 // Guards against a node that has been restarted beside a limited target and sends it
@@ -60,3 +65,25 @@
 	require.False(t, stillLimited)
 	require.False(t, notice.observe(now, now, registration.Report{TargetID: "t"}, limited), "an answer of an earlier process")
 }
+
+// Guards against chains that are refused because one target of a service has announced
+// a limit while others take more: its cutoff follows from what it gets, not from what
+// the service has to serve. If all are limited, their cutoffs hold.
+func TestCutoffOfLimitedTargetIsLeftOutWhileOthersTakeMore(t *testing.T) {
+	n := startDrainTestNode(t, "127.0.0.78:29489")
+	report := n.target.report(time.Now())
+	limited := &message.TargetNotice{Target: 1, RatePerSecond: 2}
+	other := membership.Member{ID: uuid.UUID{7}, State: membership.Alive, Meta: membership.Meta{Service: "s", PeerAddr: netip.MustParseAddrPort("127.0.0.9:1"), TargetState: membership.Ready, Slots: 4}}
+	n.directory.Update(time.Now(), other)
+	n.directory.Update(time.Now(), membership.Member{ID: n.id, State: membership.Alive, Meta: n.memberMeta()})
+	cutoff := func() pressure.Cutoff {
+		n.observeCutoffs("s", routing.TargetID(other.ID.String()), &message.Reply{Load: &message.Load{Cutoff: 0.5}, Notice: limited}, time.Now())
+		n.chains.mu.Lock()
+		defer n.chains.mu.Unlock()
+		return n.chains.table.Cutoffs(time.Now())["s"]
+	}
+	n.peerNotices.observe(time.Now(), "127.0.0.9:1", limited)
+	require.Equal(t, pressure.AdmitAll, cutoff(), "the own target takes more")
+	n.observeNotice(time.Now(), report, httpconn.TargetNotice{Limited: true, RatePerSecond: 3})
+	require.Less(t, cutoff(), pressure.AdmitAll)
+}
