Send no work to a target that announces its departure in its answers

The field was not read either, so only a report made a node stop. An answer that says so counts as a departure now: the node beside the target refuses further calls, writes it to its record and tells the others. Entry nodes learn it with the reply and send it along with their calls, so that a node which has been restarted beside the target while the store is away refuses them as well, whatever late report it gets. It holds for that process of the target only.

--- a/mesh/target_notice.go
+++ b/mesh/target_notice.go
@@ -31,6 +31,7 @@
 	rate     float64
 	// namedAt is when the limit was last named.
 	namedAt time.Time
+	leaving bool
 }
 
 // targetIdentity returns the identity of the process that sent a report.
@@ -39,15 +40,19 @@
 }
 
 // observe records the notice in the response to a run that began at the given time,
-// and reports whether the limit has changed.
-func (t *targetNotice) observe(now, began time.Time, report registration.Report, notice httpconn.TargetNotice) (limitChanged bool) {
+// and reports whether the limit has changed, and whether the target has announced for
+// the first time that it leaves.
+func (t *targetNotice) observe(now, began time.Time, report registration.Report, notice httpconn.TargetNotice) (limitChanged, nowLeaving bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	current, changed := t.selectLocked(report)
 	if !current {
-		return false
+		return false, false
 	}
 	t.answered = true
+	if notice.Leaving && !t.leaving {
+		t.leaving, nowLeaving = true, true
+	}
 	switch {
 	case notice.Limited:
 		changed = changed || !t.limited || t.rate != notice.RatePerSecond
@@ -56,7 +61,7 @@
 		changed = true
 		t.limited, t.rate = false, 0
 	}
-	return changed
+	return changed, nowLeaving
 }
 
 // selectLocked resets the notice if it is that of an earlier process. It reports
@@ -71,7 +76,7 @@
 		return false, false
 	}
 	limitEnded = t.limited
-	t.target, t.born, t.answered, t.limited, t.rate = target, report.StartedAtMs, false, false, 0
+	t.target, t.born, t.answered, t.limited, t.rate, t.leaving = target, report.StartedAtMs, false, false, 0, false
 	return true, limitEnded
 }
 
@@ -84,17 +89,24 @@
 	return limitEnded
 }
 
-// adopt takes over the limit that a peer knows, unless this node has seen a response
-// of the process itself. It reports whether the limit has changed.
-func (t *targetNotice) adopt(now time.Time, report registration.Report, notice *message.TargetNotice) bool {
+// adopt takes over what a peer knows; the limit only if this node has not seen a
+// response of the process itself. It reports whether the limit has changed, and whether
+// it is news that the target leaves.
+func (t *targetNotice) adopt(now time.Time, report registration.Report, notice *message.TargetNotice) (limitChanged, nowLeaving bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	current, changed := t.selectLocked(report)
-	if !current || t.answered || notice.RatePerSecond <= 0 || t.limited && t.rate == notice.RatePerSecond {
-		return changed
+	if !current {
+		return false, false
+	}
+	if notice.Leaving && !t.leaving {
+		t.leaving, nowLeaving = true, true
+	}
+	if t.answered || notice.RatePerSecond <= 0 || t.limited && t.rate == notice.RatePerSecond {
+		return changed, nowLeaving
 	}
 	t.limited, t.rate, t.namedAt = true, notice.RatePerSecond, now
-	return true
+	return true, nowLeaving
 }
 
 // limit returns the requests per second that the target takes, if it has announced a
@@ -109,10 +121,14 @@
 func (t *targetNotice) message() *message.TargetNotice {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.limited {
+	if !t.limited && !t.leaving {
 		return nil
 	}
-	return &message.TargetNotice{Target: t.target, RatePerSecond: max(t.rate, admission.MinRatePerSecond)}
+	m := &message.TargetNotice{Target: t.target, Leaving: t.leaving}
+	if t.limited {
+		m.RatePerSecond = max(t.rate, admission.MinRatePerSecond)
+	}
+	return m
 }
 
 // observeNotice records what the target announces in a response.
@@ -120,9 +136,8 @@
 	if notice.RateUnreadable {
 		n.logLimited("limit of the target not readable", "target", report.TargetID, "text", notice.InvalidRate)
 	}
-	if n.notice.observe(time.Now(), began, report, notice) {
-		n.applyTargetLimit(report, "answer")
-	}
+	limitChanged, nowLeaving := n.notice.observe(time.Now(), began, report, notice)
+	n.applyNotice(report, "answer", limitChanged, nowLeaving)
 }
 
 // adoptNotice takes over what the sender of a call knows about the local target: this
@@ -135,11 +150,29 @@
 	if notice.Target != targetIdentity(report) {
 		return
 	}
-	if n.notice.adopt(time.Now(), report, notice) {
-		n.applyTargetLimit(report, "peer")
+	limitChanged, nowLeaving := n.notice.adopt(time.Now(), report, notice)
+	n.applyNotice(report, "peer", limitChanged, nowLeaving)
+}
+
+// applyNotice puts in force what the target has announced anew.
+func (n *Node) applyNotice(report registration.Report, source string, limitChanged, nowLeaving bool) {
+	if limitChanged {
+		n.applyTargetLimit(report, source)
+	}
+	if nowLeaving {
+		n.targetLeaving(report, source)
 	}
 }
 
+// targetLeaving handles the news that the target leaves, as a report of it would. The
+// departure is not acknowledged to the target, so nothing waits for it to be saved.
+func (n *Node) targetLeaving(report registration.Report, source string) {
+	n.log.Info("target announces in its answers that it leaves", "target", report.TargetID, "born", report.StartedAtMs, "source", source, "state", report.State.String())
+	d := registration.Departure{TargetID: report.TargetID, StartedAtMs: report.StartedAtMs, Seq: report.Seq, State: registration.Draining}
+	n.learnDepartures(d)
+	n.broadcastDeparture(d)
+}
+
 // applyTargetLimit puts the announced limit in force.
 func (n *Node) applyTargetLimit(report registration.Report, source string) {
 	rate, limited := n.notice.limit()
--- a/mesh/target_notice_test.go
+++ b/mesh/target_notice_test.go
@@ -54,18 +54,20 @@
 	report := registration.Report{TargetID: "t", StartedAtMs: 1}
 	now := time.Now()
 	limited := httpconn.TargetNotice{Limited: true, RatePerSecond: 5}
-	require.True(t, notice.observe(now, now.Add(-time.Second), report, limited))
-	require.False(t, notice.observe(now.Add(time.Second), now.Add(-time.Millisecond), report, httpconn.TargetNotice{}))
-	require.False(t, notice.observe(now.Add(time.Second), now.Add(limitEndMargin), report, httpconn.TargetNotice{}))
-	require.False(t, notice.observe(now.Add(time.Second), now.Add(time.Second), report, httpconn.TargetNotice{RateUnreadable: true}))
-	require.False(t, notice.observe(now.Add(2*time.Second), now.Add(time.Second), report, limited))
-	require.False(t, notice.observe(now.Add(2*time.Second), now.Add(time.Second), report, httpconn.TargetNotice{}))
-	require.True(t, notice.observe(now.Add(3*time.Second), now.Add(2*time.Second+2*limitEndMargin), report, httpconn.TargetNotice{}))
+	require.True(t, limitChanged(notice.observe(now, now.Add(-time.Second), report, limited)))
+	require.False(t, limitChanged(notice.observe(now.Add(time.Second), now.Add(-time.Millisecond), report, httpconn.TargetNotice{})))
+	require.False(t, limitChanged(notice.observe(now.Add(time.Second), now.Add(limitEndMargin), report, httpconn.TargetNotice{})))
+	require.False(t, limitChanged(notice.observe(now.Add(time.Second), now.Add(time.Second), report, httpconn.TargetNotice{RateUnreadable: true})))
+	require.False(t, limitChanged(notice.observe(now.Add(2*time.Second), now.Add(time.Second), report, limited)))
+	require.False(t, limitChanged(notice.observe(now.Add(2*time.Second), now.Add(time.Second), report, httpconn.TargetNotice{})))
+	require.True(t, limitChanged(notice.observe(now.Add(3*time.Second), now.Add(2*time.Second+2*limitEndMargin), report, httpconn.TargetNotice{})))
 	_, stillLimited := notice.limit()
 	require.False(t, stillLimited)
-	require.False(t, notice.observe(now, now, registration.Report{TargetID: "t"}, limited), "an answer of an earlier process")
+	require.False(t, limitChanged(notice.observe(now, now, registration.Report{TargetID: "t"}, limited)), "an answer of an earlier process")
 }
 
+func limitChanged(limitChanged, _ bool) bool { return limitChanged }
+
 // Guards against chains that are refused because one target of a service has announced
 // a limit while others take more: its cutoff follows from what it gets, not from what
 // the service has to serve. If all are limited, their cutoffs hold.
