--- a/admission/queue.go
+++ b/admission/queue.go
@@ -20,8 +20,8 @@
 // deadline can no longer be met is refused without shedding others, since free
 // capacity would not help it and a caller with short deadlines must not be able
 // to empty the queue. The same holds for a request that the rate would keep waiting too
-// long behind those of at least its importance: for the queue timeout, or for its own
-// time if other targets have refused it.
+// long behind those of at least its importance: for maxRateWait, or for its own time if
+// no other target takes more.
 //
 // Operations take constant time per decision returned, plus an update of the
 // expiry heap that is logarithmic in the number of waiting requests.
@@ -95,7 +95,7 @@
 		if w.cause == kind.QueueTimeout {
 			w.cause, w.callerBound = kind.RateLimited, true
 		}
-		if waitUntil := now.Add(q.config.QueueTimeout); !r.Repeat && waitUntil.Before(w.expires) {
+		if waitUntil := now.Add(maxRateWait); !r.WaitForRate && waitUntil.Before(w.expires) {
 			w.expires, w.cause = waitUntil, kind.RateLimited
 		}
 		if now.Add(q.rate.wait(now, q.waitingBefore(r.Rank))).After(w.expires) {
--- a/admission/rate.go
+++ b/admission/rate.go
@@ -5,6 +5,8 @@
 const (
 	// burstTime is the time of which the unused part of a rate may be made up for.
 	burstTime = 500 * time.Millisecond
+	// maxRateWait bounds the wait for the rate while other targets take more.
+	maxRateWait = 50 * time.Millisecond
 	// MinRatePerSecond is the lowest rate that a queue applies. A target that gets
 	// nothing could never tell that it takes more.
 	MinRatePerSecond = 0.2
--- a/admission/rate_test.go
+++ b/admission/rate_test.go
@@ -57,7 +57,7 @@
 			}
 			rank := MakeRank(rapid.IntRange(0, 2).Draw(t, "importance"), false, 0)
 			waiting[id] = rank
-			record(q.Offer(now, Request{ID: id, Rank: rank}))
+			record(q.Offer(now, Request{ID: id, Rank: rank, WaitForRate: rapid.Bool().Draw(t, "wait for rate")}))
 		}
 		effective := max(rate, MinRatePerSecond)
 		for i := range admitted {
@@ -71,14 +71,14 @@
 
 // Guards against a request that waits long at a limited target while others are free,
 // and against one that is refused at once although all targets are limited.
-func TestRateLetsRepeatsWaitLonger(t *testing.T) {
+func TestRequestWaitsForRateIfNoTargetTakesMore(t *testing.T) {
 	q := NewQueue(Config{QueueTimeout: 100 * time.Millisecond}, 10, epoch)
 	q.SetRate(epoch, 2)
 	q.Offer(epoch, Request{ID: 1, Rank: MinRank})
 	decisions := q.Offer(epoch, Request{ID: 2, Rank: MinRank, MaxWait: time.Second})
 	require.Len(t, decisions, 1)
 	require.Equal(t, kind.RateLimited, decisions[0].Refused)
-	require.Empty(t, q.Offer(epoch, Request{ID: 2, Rank: MinRank, MaxWait: time.Second, Repeat: true}))
+	require.Empty(t, q.Offer(epoch, Request{ID: 2, Rank: MinRank, MaxWait: time.Second, WaitForRate: true}))
 }
 
 // Guards against a queue of a limited target that fills with requests which will time
@@ -89,7 +89,7 @@
 	rank := func(importance int) Rank { return MakeRank(importance, false, 0) }
 	refused := 0
 	for id := range ID(20) {
-		for _, d := range q.Offer(epoch, Request{ID: id, Rank: rank(1)}) {
+		for _, d := range q.Offer(epoch, Request{ID: id, Rank: rank(1), WaitForRate: true}) {
 			if !d.Admitted() {
 				require.Equal(t, kind.RateLimited, d.Refused)
 				refused++
@@ -98,7 +98,7 @@
 	}
 	require.Equal(t, Stats{Limit: 10, Running: 1, Waiting: 5, Level: q.Level(epoch), EmptySince: epoch}, q.Stats(epoch))
 	require.Equal(t, 14, refused)
-	require.Empty(t, q.Offer(epoch, Request{ID: 100, Rank: rank(0)}), "a more important request does not wait behind the others")
+	require.Empty(t, q.Offer(epoch, Request{ID: 100, Rank: rank(0), WaitForRate: true}), "a more important request does not wait behind the others")
 	next, ok := q.NextAdmission(epoch)
 	require.True(t, ok)
 	require.Equal(t, epoch.Add(100*time.Millisecond), next)
--- a/admission/request.go
+++ b/admission/request.go
@@ -20,6 +20,7 @@
 	// deadline it is a bound set by the caller: a request that reaches it is
 	// refused without shedding less important ones.
 	MaxWait time.Duration
-	// Repeat reports that another target has refused the request.
-	Repeat bool
+	// WaitForRate reports that no other target takes more, so that the request may wait
+	// as long as without a rate.
+	WaitForRate bool
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -125,7 +125,7 @@
 	g.byImportance[r.Rank.Importance()]++
 	g.deliverLocked(now, g.queue.Offer(now, admission.Request{
 		ID: id, Rank: r.Rank, Deadline: r.Deadline, ServiceTime: min(g.limiter.ServiceTime(), r.Deadline.Sub(now)/serviceTimeDivisor),
-		MaxWait: r.MaxWait, Repeat: r.Repeat,
+		MaxWait: r.MaxWait, WaitForRate: r.WaitForRate,
 	}))
 	if !r.Repeat {
 		g.controller.RecordArrival(r.Rank.Importance())
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -102,7 +102,7 @@
 			return nil, 0, failure
 		}
 		enqueuedAt := time.Now()
-		id, failure := n.gate.Acquire(ctx, gate.Request{Rank: rank, Deadline: call.Deadline, MaxWait: call.MaxWait, Repeat: call.Repeat})
+		id, failure := n.gate.Acquire(ctx, gate.Request{Rank: rank, Deadline: call.Deadline, MaxWait: call.MaxWait, Repeat: call.Repeat, WaitForRate: call.WaitForRate})
 		if failure != nil {
 			begun.End(false)
 			return nil, 0, failure
--- a/mesh/repeat.go
+++ b/mesh/repeat.go
@@ -64,6 +64,7 @@
 		if failure.Kind == kind.RateLimited {
 			// The request has been counted as an arrival at that target.
 			q.call.Repeat = true
+			q.call.WaitForRate = !f.node.othersTakeMore(time.Now(), q.call.Service, reply.Notice)
 		}
 		return f.notSent < maxNotSent && !overloaded(failure)
 	}
--- a/message/call.go
+++ b/message/call.go
@@ -32,6 +32,9 @@
 	// Notice is what the target has announced about itself, nil if nothing. The node
 	// beside the target may have been restarted since.
 	Notice *TargetNotice
+	// WaitForRate reports that all targets have announced limits, so that the call may
+	// wait its own time for one of them.
+	WaitForRate bool
 	// MaxWait limits the queueing time at the target's node; 0 applies that
 	// node's own limit.
 	MaxWait time.Duration
--- a/peerlink/encode_call.go
+++ b/peerlink/encode_call.go
@@ -27,6 +27,7 @@
 	callRepeat
 	callKnownCrashes
 	callNotice
+	callWaitForRate
 )
 
 // appendCall encodes a call without its body. The deadline is sent as the time left
@@ -46,6 +47,7 @@
 	b = appendUint(b, callMaxWait, uint64(max(0, c.MaxWait.Microseconds())))
 	b = appendBool(b, callRepeat, c.Repeat)
 	b = appendNotice(b, callNotice, c.Notice)
+	b = appendBool(b, callWaitForRate, c.WaitForRate)
 	b = appendUint(b, callKnownCrashes, uint64(max(0, c.KnownCrashes)))
 	return appendBool(b, callAdmitted, c.Admitted)
 }
@@ -76,6 +78,8 @@
 			c.Importance = uint8(min(v, 255))
 		case callChainLevel:
 			c.ChainLevel = uint8(min(v, 255))
+		case callWaitForRate:
+			c.WaitForRate = v != 0
 		case callRepeat:
 			c.Repeat = v != 0
 		case callKnownCrashes:
--- a/peerlink/peerlink_test.go
+++ b/peerlink/peerlink_test.go
@@ -68,7 +68,7 @@
 	}), 0, 4)
 	c := &message.Call{Service: "s" + text.Draw(t, "service"), CallerService: text.Draw(t, "caller"), Unsafe: rapid.Bool().Draw(t, "unsafe"),
 		Importance: rapid.Uint8().Draw(t, "importance"), ChainLevel: rapid.Uint8().Draw(t, "level"), Admitted: rapid.Bool().Draw(t, "admitted"), Repeat: rapid.Bool().Draw(t, "repeat"),
-		MaxWait: time.Duration(rapid.IntRange(0, 1e6).Draw(t, "wait")) * time.Microsecond, KnownCrashes: rapid.IntRange(0, maxKnownCrashes).Draw(t, "crashes")}
+		MaxWait: time.Duration(rapid.IntRange(0, 1e6).Draw(t, "wait")) * time.Microsecond, WaitForRate: rapid.Bool().Draw(t, "wait for rate"), KnownCrashes: rapid.IntRange(0, maxKnownCrashes).Draw(t, "crashes")}
 	if rapid.Bool().Draw(t, "call has notice") {
 		c.Notice = &message.TargetNotice{Target: 5, RatePerSecond: 0.125, Leaving: true}
 	}
