Do not take a repeated refusal for the answer to a second try

A second try of a request that a target has refused may use the connection of the first; if the target writes that refusal once more, its ID matches, and the caller hears 'not run' while the target runs the request, or it runs at another target as well.

A connection remembers the requests that were refused on it and does not carry them again; after 32 it is closed.

--- a/httpconn/target.go
+++ b/httpconn/target.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -69,12 +70,16 @@
 	if p.err != nil {
 		return nil, responseError(ctx, p.err)
 	}
+	r, failure := t.checkResponse(p)
+	if failure == nil && (r.NotRun || r.Misdirected) {
+		p.reusable = conn.recordRefusal(call.ID) && p.reusable
+	}
 	if p.reusable && len(call.Body) <= maxInlineBodyBytes {
 		t.release(conn)
 	} else {
 		conn.closeWithError(net.ErrClosed)
 	}
-	return t.checkResponse(p)
+	return r, failure
 }
 
 // writeRequest sends one request. It returns an error, with run state not-run, only
@@ -112,15 +117,10 @@
 func (t *Target) acquire(ctx context.Context, p *pendingRequest) (*targetConn, *kind.Error) {
 	now := time.Now()
 	for {
-		t.mu.Lock()
-		n := len(t.idle)
-		if n == 0 {
-			t.mu.Unlock()
+		conn := t.takeIdle(p.id)
+		if conn == nil {
 			break
 		}
-		conn := t.idle[n-1]
-		t.idle = t.idle[:n-1]
-		t.mu.Unlock()
 		if conn.usable(now) && conn.startRequest(p) {
 			return conn, nil
 		}
@@ -136,6 +136,22 @@
 	return conn, nil
 }
 
+// takeIdle removes and returns the idle connection that was used last and has not
+// carried a refusal of the request with the given ID, nil if there is none. A faulty
+// target may write that refusal once more, and the ID would not tell it from the answer
+// to the second try.
+func (t *Target) takeIdle(requestID string) *targetConn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := len(t.idle) - 1; i >= 0; i-- {
+		if conn := t.idle[i]; !conn.hasRefused(requestID) {
+			t.idle = slices.Delete(t.idle, i, i+1)
+			return conn
+		}
+	}
+	return nil
+}
+
 func (t *Target) dial(ctx context.Context) (*targetConn, error) {
 	t.mu.Lock()
 	t.dials++
--- a/httpconn/target_conn.go
+++ b/httpconn/target_conn.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,6 +20,9 @@
 	// maxExtraResponses is how many responses to other requests are skipped on a
 	// connection before it is closed.
 	maxExtraResponses = 4
+	// maxRefusedIDs is how many requests may be refused on a connection before it is
+	// closed.
+	maxRefusedIDs = 32
 	// maxInterimResponses is how many responses with a status below 200 may precede
 	// the final one.
 	maxInterimResponses = 8
@@ -41,6 +45,9 @@
 	// keeps an idle connection open, 0 if the target does not state it.
 	idleSince time.Time
 	keepAlive time.Duration
+	// refused holds the IDs of the requests that the target has refused on this
+	// connection.
+	refused []string
 }
 
 // pendingRequest is a request that waits for its response.
@@ -184,6 +191,22 @@
 	}
 }
 
+// recordRefusal records that the target has refused a request on this connection. It
+// reports false if the connection should carry no further ones.
+func (c *targetConn) recordRefusal(requestID string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused = append(c.refused, requestID)
+	return len(c.refused) < maxRefusedIDs
+}
+
+// hasRefused reports whether the target has refused a request on this connection.
+func (c *targetConn) hasRefused(requestID string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.refused, requestID)
+}
+
 // usable reports whether an idle connection is expected to stay open long enough
 // for a request that is written now.
 func (c *targetConn) usable(now time.Time) bool {
