--- a/mesh/crash_guard.go
+++ b/mesh/crash_guard.go
@@ -59,7 +59,7 @@
 	return n.crashes.Begin(ctx, call.Fingerprint, call.KnownCrashes)
 }
 
-// observeReply records what a reply tells about the request itself.
+// observeCrash records what a reply tells about crashes under the request.
 func (n *Node) observeCrash(call *message.Call, reply *message.Reply) {
 	if reply.Response != nil {
 		n.crashes.ObserveCompletion(call.Fingerprint)
