--- a/mesh/crash_guard_test.go
+++ b/mesh/crash_guard_test.go
@@ -11,15 +11,21 @@
 	"github.com/goldcrestsail/goldcrestsail/quarantine"
 )
 
-// Guards against an answer to a request in quarantine that makes its caller come back
-// at once, or that says more than "not run".
-func TestQuarantinedRequestIsAnsweredAsNotRun(t *testing.T) {
-	n := New(Config{GossipAddress: "127.0.0.80:29591", PeerAddress: "127.0.0.80:29590"})
+// startGossipOnly starts the gossip of a node that serves nobody, at a loopback address.
+func startGossipOnly(t *testing.T, host string) *Node {
+	n := New(Config{GossipAddress: host + ":29591", PeerAddress: host + ":29590"})
 	require.NoError(t, n.startGossip())
 	t.Cleanup(func() {
 		n.gossip.Close()
 		n.gate.Close()
 	})
+	return n
+}
+
+// Guards against an answer to a request in quarantine that makes its caller come back
+// at once, or that says more than "not run".
+func TestQuarantinedRequestIsAnsweredAsNotRun(t *testing.T) {
+	n := startGossipOnly(t, "127.0.0.80")
 	call := &message.Call{Request: message.Request{Method: "GET", Host: "h", URI: "/a"}}
 	call.Fingerprint = fingerprintOf(&call.Request)
 	for i := range uint64(2) {
