Take a crash report of a clock that is ahead as of now

The time of a crash is that of the reporter's clock. If it is ahead, completions at other nodes count as earlier, and an innocent request stays suspect until that time has come: with one crash it goes to one target, with two it runs alone. TestCrashReportOfFastClockIsClearedByCompletion fails without the rule.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -179,6 +179,11 @@
 	if !e.Expiry.After(now) {
 		return true
 	}
+	if e.At.After(now) {
+		// The reporter's clock is ahead. Without this, completions would count as
+		// earlier than the crash until that time has come.
+		e.At = now.Truncate(time.Millisecond)
+	}
 	for _, f := range e.Crashed {
 		if r := t.getOrCreateRecord(f, e.Expiry); r != nil {
 			r.addCrash(crash{e.Reporter, e.Seq, e.At, e.OnTrial}, t.cfg.CompletionWindow)
--- a/quarantine/trial_policy_test.go
+++ b/quarantine/trial_policy_test.go
@@ -258,6 +258,17 @@
 	require.Equal(t, quarantine.Clear, other.Check(start.Add(time.Second), 8).State)
 }
 
+// Guards against an innocent request that stays suspect since the clock of the node
+// that reported the crash is ahead.
+func TestCrashReportOfFastClockIsClearedByCompletion(t *testing.T) {
+	table := quarantine.New(trialConfig(1))
+	ahead := start.Add(time.Hour)
+	require.True(t, table.Merge(start, quarantine.Entry{Reporter: 2, Seq: 1, At: ahead, Expiry: ahead.Add(10 * time.Minute), Crashed: []quarantine.Fingerprint{7}}))
+	require.Equal(t, quarantine.Suspect, table.Check(start, 7).State)
+	table.Completed(start.Add(time.Second), 7)
+	require.Equal(t, quarantine.Clear, table.Check(start.Add(time.Second), 7).State)
+}
+
 // Guards against a quarantine without end, and against one after which the request
 // ends as many targets as before.
 func TestQuarantineEndsWithTrial(t *testing.T) {
