--- a/crashguard/guard.go
+++ b/crashguard/guard.go
@@ -26,20 +26,18 @@
 	return &Guard{cfg: cfg, table: quarantine.New(cfg.Table), changed: make(chan struct{})}
 }
 
-func (g *Guard) now() time.Time { return time.Now() }
-
 // Check returns the state of a request.
 func (g *Guard) Check(f quarantine.Fingerprint) quarantine.Verdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Check(g.now(), f)
+	return g.table.Check(time.Now(), f)
 }
 
 // ReportCrash reports the requests that were in flight when the target crashed, and
 // returns the entries that are sent to the other nodes.
 func (g *Guard) ReportCrash(inFlight []quarantine.Fingerprint) []quarantine.Entry {
 	g.mu.Lock()
-	effects := g.table.Crashed(g.now(), inFlight)
+	effects := g.table.Crashed(time.Now(), inFlight)
 	g.notifyLocked()
 	g.mu.Unlock()
 	return g.publish(effects)
@@ -51,7 +49,7 @@
 func (g *Guard) ReportLost(f quarantine.Fingerprint, knownCrashes int) []quarantine.Entry {
 	g.mu.Lock()
 	sentAs := g.mode(quarantine.Verdict{}, knownCrashes)
-	effects := g.table.CrashedElsewhere(g.now(), f, sentAs == onTrial)
+	effects := g.table.CrashedElsewhere(time.Now(), f, sentAs == onTrial)
 	g.notifyLocked()
 	g.mu.Unlock()
 	return g.publish(effects)
@@ -61,7 +59,7 @@
 func (g *Guard) Merge(e quarantine.Entry) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.table.Merge(g.now(), e)
+	g.table.Merge(time.Now(), e)
 	g.notifyLocked()
 }
 
@@ -69,7 +67,7 @@
 func (g *Guard) ObserveCompletion(f quarantine.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.table.ObserveCompletion(g.now(), f) {
+	if g.table.ObserveCompletion(time.Now(), f) {
 		g.notifyLocked()
 	}
 }
@@ -78,9 +76,9 @@
 // others, as the table requires. knownCrashes is the number of crashes that the sender
 // of the request attributes to it. The error has run state not-run.
 func (g *Guard) Begin(ctx context.Context, f quarantine.Fingerprint, knownCrashes int) (*Run, *kind.Error) {
-	reportDeadline, trialDeadline := g.now().Add(g.cfg.ReportWait), g.now().Add(g.cfg.TrialWait)
+	reportDeadline, trialDeadline := time.Now().Add(g.cfg.ReportWait), time.Now().Add(g.cfg.TrialWait)
 	for {
-		now := g.now()
+		now := time.Now()
 		g.mu.Lock()
 		verdict := g.table.Check(now, f)
 		mode := g.mode(verdict, knownCrashes)
@@ -162,7 +160,7 @@
 // Tick publishes collected completions and removes expired entries.
 func (g *Guard) Tick() {
 	g.mu.Lock()
-	effects := g.table.Tick(g.now())
+	effects := g.table.Tick(time.Now())
 	g.mu.Unlock()
 	g.publish(effects)
 }
@@ -171,7 +169,7 @@
 func (g *Guard) List() []quarantine.FingerprintStatus {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.List(g.now())
+	return g.table.List(time.Now())
 }
 
 func (g *Guard) publish(effects []quarantine.Effect) (entries []quarantine.Entry) {
--- a/crashguard/run.go
+++ b/crashguard/run.go
@@ -1,6 +1,10 @@
 package crashguard
 
-import "github.com/goldcrestsail/goldcrestsail/quarantine"
+import (
+	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/quarantine"
+)
 
 // Run is a run of a request at the local target.
 type Run struct {
@@ -34,7 +38,7 @@
 		g.table.EndTrial(f)
 	}
 	if completed {
-		effects = g.table.Completed(g.now(), f)
+		effects = g.table.Completed(time.Now(), f)
 	}
 	if r.mode != unrestricted {
 		g.notifyLocked()
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -50,12 +50,12 @@
 	if _, failure := n.target.acceptsWork(time.Now()); failure != nil {
 		return &message.Reply{Failure: failure}
 	}
-	begun, id, failure := n.admit(ctx, call)
+	guarded, id, failure := n.admit(ctx, call)
 	if failure != nil {
 		return &message.Reply{Failure: failure}
 	}
 	answered := false
-	defer func() { begun.End(answered) }()
+	defer func() { guarded.End(answered) }()
 	// The target may have announced its departure while the request was queued.
 	report, failure := n.target.acceptsWork(time.Now())
 	if failure != nil {
@@ -97,23 +97,23 @@
 func (n *Node) admit(ctx context.Context, call *message.Call) (*crashguard.Run, admission.ID, *kind.Error) {
 	rank := admission.MakeRank(int(call.Importance), call.Admitted, call.ChainLevel)
 	for {
-		begun, failure := n.beginRun(ctx, call)
+		guarded, failure := n.beginRun(ctx, call)
 		if failure != nil {
 			return nil, 0, failure
 		}
 		enqueuedAt := time.Now()
 		id, failure := n.gate.Acquire(ctx, gate.Request{Rank: rank, Deadline: call.Deadline, MaxWait: call.MaxWait, Repeat: call.Repeat, WaitForRate: call.WaitForRate})
 		if failure != nil {
-			begun.End(false)
+			guarded.End(false)
 			return nil, 0, failure
 		}
 		n.metrics.queueTime.Update(time.Since(enqueuedAt).Seconds())
-		if !n.crashes.Outdated(begun, call.KnownCrashes) {
-			return begun, id, nil
+		if !n.crashes.Outdated(guarded, call.KnownCrashes) {
+			return guarded, id, nil
 		}
 		// The request has become suspect while it was queued.
 		n.gate.Release(id, nil)
-		begun.End(false)
+		guarded.End(false)
 	}
 }
 
