Review case 3: a heartbeat from before a crash undoes a departure

Cause: a departure holds only for reports with the same start; a node that has just started takes a late report of an earlier incarnation with the same ID. Change: the script of the case; the harness delivers late heartbeats and judges arrivals after a departure. Case 2 shortens the start of its new backend to one heartbeat interval, and plays no replacement with TROUBLE=0.

--- a/review/harness/backend.go
+++ b/review/harness/backend.go
@@ -149,6 +149,11 @@
 func (b *backend) crash() {
 	b.at.rec.printf("backend %s crashes", b.id)
 	close(b.ended)
+	b.exit()
+}
+
+// exit ends the backend, which has left or crashed: its connections are reset.
+func (b *backend) exit() {
 	b.at.mu.Lock()
 	if b.at.current == b {
 		b.at.current = nil
@@ -162,13 +167,6 @@
 	}
 }
 
-// setState changes the state that the backend reports.
-func (b *backend) setState(state string) {
-	b.mu.Lock()
-	b.state = state
-	b.mu.Unlock()
-}
-
 // reportBody returns the body of the next heartbeat.
 func (b *backend) reportBody() string {
 	b.mu.Lock()
--- a/review/harness/late_heartbeat.go
+++ b/review/harness/late_heartbeat.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -41,42 +41,39 @@
 	}
 	time.Sleep(2 * time.Second)
 
-	// The machine of the last backend goes together with it.
+	// The machine of the last backend goes together with it. A machine of binwatch gets
+	// the address.
 	machine, app, old := d.nodes[3], apps[3], backends[3]
 	late := old.reportBody()
-	rec.printf("heartbeat of backend %s is sent and delayed: %s", old.id, late)
-	old.crash()
-	machine.signal(9)
-	machine.awaitEnd(5 * time.Second)
-	time.Sleep(reuseDelay + 500*time.Millisecond)
-
-	// A machine of binwatch gets the address. Its backend needs three seconds to start.
-	machine.service = "binwatch"
-	if err := machine.writeSettings(); err != nil {
-		return nil, err
-	}
-	if err := machine.start(); err != nil {
-		return nil, err
-	}
-	if err := awaitReady(10*time.Second, machine); err != nil {
-		return nil, err
+	sentLate := time.Now()
+	if trouble {
+		rec.printf("heartbeat of backend %s is sent and delayed: %s", old.id, late)
+		old.crash()
+		machine.signal(syscall.SIGKILL)
+		machine.awaitEnd(5 * time.Second)
+		time.Sleep(reuseDelay + 500*time.Millisecond)
+		machine.service = "binwatch"
+		if err := machine.writeSettings(); err != nil {
+			return nil, err
+		}
+		if err := machine.start(); err != nil {
+			return nil, err
+		}
+		if err := awaitReady(10*time.Second, machine); err != nil {
+			return nil, err
+		}
 	}
 	ready := time.Now()
 	if trouble {
-		client := http.Client{Timeout: time.Second}
-		r, err := http.NewRequest(http.MethodPut, "http://"+machine.control+"/goldcrestsail/instances/"+old.id, strings.NewReader(late))
-		if err != nil {
+		if err := deliverLate(rec, machine, old.id, late, sentLate); err != nil {
 			return nil, err
 		}
-		if response, err := client.Do(r); err == nil {
-			rec.printf("the late heartbeat of backend %s arrives: %s", old.id, response.Status)
-			_ = response.Body.Close()
-		}
 	}
 	var sent []string
 	began := false
-	for time.Since(ready) < 6*time.Second {
-		if !began && time.Since(ready) > 3*time.Second {
+	for time.Since(ready) < 4*time.Second {
+		// The first heartbeat of the new backend comes heartbeatS after the node is ready.
+		if trouble && !began && time.Since(ready) > heartbeat {
 			began = true
 			b := app.newBackend("binwatch", "i-binwatch-5", 81, 40*time.Millisecond)
 			b.onRun = backends[0].onRun
@@ -84,7 +81,7 @@
 		}
 		o := call(rec, machine, http.MethodPost, "pay.example", "/a/p", "payout", 2*time.Second)
 		sent = append(sent, o.id)
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
 	}
 	mu.Lock()
 	defer mu.Unlock()
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -20,8 +20,9 @@
 type scenario func(rec *record, trouble bool) (breaks []string, err error)
 
 var scenarios = map[string]scenario{
-	"late-heartbeat": lateHeartbeat,
-	"reused-address": reusedAddress,
+	"earlier-incarnation": earlierIncarnation,
+	"late-heartbeat":      lateHeartbeat,
+	"reused-address":      reusedAddress,
 }
 
 func main() {
