--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -20,6 +20,7 @@
 type scenario func(rec *record, trouble bool) (breaks []string, err error)
 
 var scenarios = map[string]scenario{
+	"head-refused":        headRefused,
 	"spoiled-head":        spoiledHead,
 	"lost-departure":      lostDeparture,
 	"earlier-incarnation": earlierIncarnation,
