Let the review's harness outlive a closed output

Cause: a trial whose output went to a pipe that closed was ended by SIGPIPE and left four nodes behind. Change: it takes the signal, and ends its processes as always.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -33,6 +33,8 @@
 		fmt.Fprintln(os.Stderr, "usage: harness CASE RECORD")
 		os.Exit(2)
 	}
+	// A closed output must not end the harness before it has ended its processes.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
 	go endEarly()
 	rec, err := newRecord(os.Args[2])
 	if err != nil {
