Close the listeners of a node that is closed right after its start

Cause: Server.Stop closes the listener that Serve has stored. If the goroutine of Serve has not run yet, there is none, and the address stays taken.

Both servers now remember that they have been stopped and close a listener that comes later, and a node closes its listeners itself, so that they are free when Close returns.

--- a/httpconn/server.go
+++ b/httpconn/server.go
@@ -38,6 +38,8 @@
 	accepted chan struct{}
 	conns    map[*serverConn]struct{}
 	draining bool
+	// stopped reports that StopListening has been called, perhaps before Serve.
+	stopped bool
 }
 
 // Serve accepts connections until the listener is closed.
@@ -45,6 +47,11 @@
 	accepted := make(chan struct{})
 	defer close(accepted)
 	s.mu.Lock()
+	if s.stopped {
+		s.mu.Unlock()
+		_ = l.Close()
+		return
+	}
 	s.listener, s.accepted = l, accepted
 	s.conns = map[*serverConn]struct{}{}
 	s.mu.Unlock()
@@ -75,6 +82,7 @@
 // Connections counts all that have been accepted.
 func (s *Server) StopListening() {
 	s.mu.Lock()
+	s.stopped = true
 	l, accepted := s.listener, s.accepted
 	s.mu.Unlock()
 	if l != nil {
--- a/httpconn/stop_listening_test.go
+++ b/httpconn/stop_listening_test.go
@@ -50,3 +50,17 @@
 	s.StopListening()
 	require.Equal(t, 1, s.Connections())
 }
+
+// Guards against a listener that stays open, and keeps its address, because the server
+// is stopped before the goroutine that serves it has run.
+func TestStopBeforeServeClosesListener(t *testing.T) {
+	l := &lateListener{closed: make(chan struct{})}
+	s := &Server{Names: testNames, Handle: echo, DefaultTimeout: testTimeout}
+	s.Stop()
+	go s.Serve(l)
+	select {
+	case <-l.closed:
+	case <-time.After(testTimeout):
+		require.Fail(t, "the listener stays open")
+	}
+}
--- a/mesh/drain.go
+++ b/mesh/drain.go
@@ -90,6 +90,10 @@
 	n.cancel()
 	n.callers.Stop()
 	n.peerServer.Stop()
+	for _, l := range n.listeners {
+		// Still open only if the node is closed before its servers have begun.
+		_ = l.Close()
+	}
 	n.peers.Close()
 	n.client.CloseIdle()
 	n.gate.Close()
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -88,6 +88,8 @@
 
 	callers    *httpconn.Server
 	peerServer *peerlink.Server
+	// listeners are those of both servers.
+	listeners []net.Listener
 	// gossip is set before gossipStarted is closed.
 	gossip        *gossip.Transport
 	gossipStarted chan struct{}
@@ -193,6 +195,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
+	n.listeners = []net.Listener{callers, peers}
 	go n.callers.Serve(callers)
 	go n.peerServer.Serve(peers)
 	go n.runPeriodicTasks(ctx)
--- a/peerlink/server.go
+++ b/peerlink/server.go
@@ -32,6 +32,8 @@
 	// accepted is closed when no further connection is accepted.
 	accepted chan struct{}
 	conns    map[*conn]struct{}
+	// stopped reports that the server has been stopped, perhaps before Serve.
+	stopped bool
 }
 
 // Serve accepts connections on l until Stop is called.
@@ -39,6 +41,11 @@
 	accepted := make(chan struct{})
 	defer close(accepted)
 	s.mu.Lock()
+	if s.stopped {
+		s.mu.Unlock()
+		_ = l.Close()
+		return
+	}
 	s.listener, s.accepted, s.conns = l, accepted, map[*conn]struct{}{}
 	s.mu.Unlock()
 	acceptloop.Run(l, func(nc net.Conn) {
@@ -74,6 +81,7 @@
 // that have been accepted.
 func (s *Server) stopListening() {
 	s.mu.Lock()
+	s.stopped = true
 	l, accepted := s.listener, s.accepted
 	s.mu.Unlock()
 	if l != nil {
