Check the service of a call against the report that it is sent with

Cause: the service of the local target stood in a variable of the node and in the target's report. A call was compared with the first before it waited, and sent with whatever the second said after the wait. The report of the new target opened the gate in the same moment.

The service now stands with the report, under one lock, and is asked for again after the queue, the announced rate and the wait of a suspect; a call whose target process was replaced meanwhile waits again, since its slot was one of the earlier process. If the service changes, waiting calls end with run state not-run, the gate forgets what it learned of the earlier target, and replies to calls of another service carry no load, which entry nodes took for the load of that service. Sub-calls name the service of their parent; runs at the earlier target no longer match requests by deadline.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -93,6 +93,29 @@
 	g.deliverLocked(now, g.queue.SetLimit(now, g.limiter.Limit()))
 }
 
+// Reset refuses the requests that wait and forgets what was learned of the target,
+// since another one has replaced it whose service is different. The requests that the
+// earlier target is still running take no slots of the new one. Reset returns the
+// number of both.
+func (g *Gate) Reset(now time.Time) (running, waiting int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	running, waiting = len(g.started), len(g.pending)
+	for id, decided := range g.pending {
+		decided <- admission.Decision{ID: id, Refused: kind.Starting}
+	}
+	clear(g.pending)
+	clear(g.started)
+	clear(g.importance)
+	g.byImportance = [policy.MaxImportance + 1]uint32{}
+	g.limiter = limit.New(limit.Config{Slots: 1, MinLimit: 1}, now)
+	g.queue = admission.NewQueue(admission.Config{}, 1, now)
+	g.controller = pressure.NewController(now)
+	g.appliedCutoff = pressure.AdmitAll
+	g.meanHold, g.holdSamples, g.rate = 0, 0, 0
+	return running, waiting
+}
+
 // ObserveReport records what the target reports about its health and capacity.
 func (g *Gate) ObserveReport(now time.Time, r limit.Report) {
 	g.mu.Lock()
@@ -158,7 +181,8 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if start, ok := g.started[id]; ok {
+	start, holdsSlot := g.started[id]
+	if holdsSlot {
 		delete(g.started, id)
 		if sample != nil && !sample.Refused {
 			// The first requests are averaged with equal weights. A mean that rises
@@ -167,7 +191,8 @@
 			g.meanHold += max(holdTimeWeight, 1/float64(g.holdSamples)) * (now.Sub(start).Seconds() - g.meanHold)
 		}
 	}
-	if sample != nil {
+	// A request without a slot ran at an earlier target.
+	if sample != nil && holdsSlot {
 		sample.InFlight = g.queue.Stats(now).Running
 		g.limiter.Observe(now, *sample)
 	}
--- a/mesh/admin.go
+++ b/mesh/admin.go
@@ -44,7 +44,7 @@
 	timeline, _ := n.timeline.current()
 	return map[string]any{
 		"node": map[string]any{
-			"instance": n.config.Name, "id": n.id.String(), "service": *n.service.Load(), "region": n.config.Region,
+			"instance": n.config.Name, "id": n.id.String(), "service": n.target.service(), "region": n.config.Region,
 			"failure_domain": n.config.FailureDomain, "draining": n.draining.Load(), "requests_in_progress": n.inProgress.Load(),
 			"caller_connections": n.callers.Connections(),
 		},
--- a/mesh/departures_test.go
+++ b/mesh/departures_test.go
@@ -33,7 +33,7 @@
 		n.receiveDeparture(departureBroadcast(t, "b", registration.Departure{TargetID: fmt.Sprint(i), StartedAtMs: 1, State: registration.Left}))
 	}
 	n.target.applyReport(time.Now(), registration.Report{TargetID: "own", StartedAtMs: 1, Seq: 2, State: registration.Ready, Slots: 1})
-	_, failure := n.target.acceptsWork(time.Now())
+	_, failure := n.target.acceptsWork(time.Now(), n.target.service())
 	require.NotNil(t, failure)
 	require.Len(t, n.departures(), 1)
 }
@@ -50,11 +50,11 @@
 	n.TargetLeft(t.Context(), "i-1", 0)
 	report := registration.Report{TargetID: "i-1", Service: "s", StartedAtMs: time.Now().Add(-time.Minute).UnixMilli(), Seq: 19, State: registration.Ready, Slots: 1}
 	require.NoError(t, n.ReportTarget(t.Context(), report))
-	_, failure := n.target.acceptsWork(time.Now())
+	_, failure := n.target.acceptsWork(time.Now(), n.target.service())
 	require.NotNil(t, failure)
 	// A process that starts later under the same ID is another one.
 	report.StartedAtMs, report.Seq = time.Now().Add(time.Second).UnixMilli(), 1
 	require.NoError(t, n.ReportTarget(t.Context(), report))
-	_, failure = n.target.acceptsWork(time.Now())
+	_, failure = n.target.acceptsWork(time.Now(), n.target.service())
 	require.Nil(t, failure)
 }
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -34,34 +34,26 @@
 	if reply.Failure != nil {
 		n.logUnansweredCall(call, reply)
 	}
+	if n.target.service() != call.Service {
+		// The load says nothing about the service of the call.
+		reply.Load = nil
+	}
 	return reply
 }
 
 func (n *Node) admitAndExecute(ctx context.Context, call *message.Call) *message.Reply {
-	if service := *n.service.Load(); call.Service != service {
-		return &message.Reply{Failure: kind.Newf(kind.Starting, "the target belongs to service %s", service)}
-	}
 	// A call is counted before the check, so that Drain does not miss it.
 	n.executing.Add(1)
 	defer n.executing.Add(-1)
 	if n.targetClosed.Load() {
 		return &message.Reply{Failure: kind.New(kind.Draining, "the node beside the target is about to end")}
 	}
-	if _, failure := n.target.acceptsWork(time.Now()); failure != nil {
-		return &message.Reply{Failure: failure}
-	}
-	guarded, id, failure := n.admit(ctx, call)
+	guarded, id, report, failure := n.admit(ctx, call)
 	if failure != nil {
 		return &message.Reply{Failure: failure}
 	}
 	answered := false
 	defer func() { guarded.End(answered) }()
-	// The target may have announced its departure while the request was queued.
-	report, failure := n.target.acceptsWork(time.Now())
-	if failure != nil {
-		n.gate.Release(id, nil)
-		return &message.Reply{Failure: failure}
-	}
 	bounded := *call
 	deadline, answerBy, limited := n.drainTimes.Load().limit(call.Deadline)
 	if limited && time.Until(deadline) < minTimeLeft {
@@ -93,27 +85,41 @@
 	return reply
 }
 
-// admit begins a run of a call and waits for a slot of the target.
-func (n *Node) admit(ctx context.Context, call *message.Call) (*crashguard.Run, admission.ID, *kind.Error) {
+// admit begins a run of a call, waits for a slot of the target, and returns the report
+// of the target that the call may be sent to.
+func (n *Node) admit(ctx context.Context, call *message.Call) (*crashguard.Run, admission.ID, registration.Report, *kind.Error) {
 	rank := admission.MakeRank(int(call.Importance), call.Admitted, call.ChainLevel)
+	refused := func(failure *kind.Error) (*crashguard.Run, admission.ID, registration.Report, *kind.Error) {
+		return nil, 0, registration.Report{}, failure
+	}
 	for {
+		awaited, failure := n.target.acceptsWork(time.Now(), call.Service)
+		if failure != nil {
+			return refused(failure)
+		}
 		guarded, failure := n.beginRun(ctx, call)
 		if failure != nil {
-			return nil, 0, failure
+			return refused(failure)
 		}
 		enqueuedAt := time.Now()
 		id, failure := n.gate.Acquire(ctx, gate.Request{Rank: rank, Deadline: call.Deadline, MaxWait: call.MaxWait, Repeat: call.Repeat, WaitForRate: call.WaitForRate})
 		if failure != nil {
 			guarded.End(false)
-			return nil, 0, failure
+			return refused(failure)
 		}
 		n.metrics.queueTime.Update(time.Since(enqueuedAt).Seconds())
-		if !n.crashes.Outdated(guarded, call.KnownCrashes) {
-			return guarded, id, nil
+		// While the request was queued, the target may have announced its departure, or
+		// another one may have got its address.
+		report, failure := n.target.acceptsWork(time.Now(), call.Service)
+		if failure == nil && report.SameProcess(&awaited) && !n.crashes.Outdated(guarded, call.KnownCrashes) {
+			return guarded, id, report, nil
 		}
-		// The request has become suspect while it was queued.
 		n.gate.Release(id, nil)
 		guarded.End(false)
+		if failure != nil {
+			return refused(failure)
+		}
+		// The slot was one of an earlier process, or the request has become suspect.
 	}
 }
 
--- a/mesh/load.go
+++ b/mesh/load.go
@@ -10,13 +10,13 @@
 // updateAppliedCutoff tells the gate which cutoff the entry nodes apply to its
 // service.
 func (n *Node) updateAppliedCutoff(now time.Time) {
-	own := n.gate.Cutoff()
-	if n.othersTakeMore(now, *n.service.Load(), n.notice.message()) {
+	own, service := n.gate.Cutoff(), n.target.service()
+	if n.othersTakeMore(now, service, n.notice.message()) {
 		own = pressure.AdmitAll
 	}
 	n.chains.mu.Lock()
-	n.chains.table.Observe(*n.service.Load(), string(n.selfID()), own, now)
-	cutoff, _ := n.chains.table.Cutoff(*n.service.Load(), now)
+	n.chains.table.Observe(service, string(n.selfID()), own, now)
+	cutoff, _ := n.chains.table.Cutoff(service, now)
 	n.chains.mu.Unlock()
 	n.gate.SetAppliedCutoff(cutoff)
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -94,7 +94,6 @@
 	gossip        *gossip.Transport
 	gossipStarted chan struct{}
 
-	service  atomic.Pointer[string]
 	draining atomic.Bool
 	// targetClosed reports that the target gets no more work.
 	targetClosed atomic.Bool
@@ -147,7 +146,7 @@
 	bodyMemory := bytebudget.New(cmp.Or(config.BodyMemoryBytes, defaultBodyMemoryBytes))
 	n := &Node{
 		config: config, id: uuid.New(), log: config.Logger, startedAt: time.Now(),
-		configuration: newConfiguration(), target: newTarget(config.ReportInterval), gate: gate.New(time.Now()),
+		configuration: newConfiguration(), target: newTarget(config.Service, config.ReportInterval), gate: gate.New(time.Now()),
 		gossipStarted: make(chan struct{}), lineLimiter: nodelog.NewLimiter(requestLinesPerSecond),
 		bodyMemory: bodyMemory, inFlight: newInFlight(), peers: peerlink.NewPool(bodyMemory), budgets: newBudgets(config.Budget),
 	}
@@ -162,7 +161,6 @@
 	n.chains.rng = rand.New(rand.NewPCG(seed, 2))
 	n.chains.table = chainadmission.NewTable()
 	n.crashes = newCrashGuard(n)
-	n.service.Store(&config.Service)
 	n.grace.Store(int64(config.GracePeriod))
 	n.callers = &httpconn.Server{
 		Names: config.Headers, Handle: n.serveRequest, Limits: n.requestLimits, DefaultTimeout: defaultTimeout, ParentOf: config.ParentOf, BodyMemory: bodyMemory,
@@ -278,7 +276,7 @@
 		peer = netip.AddrPort{}
 	}
 	return membership.Meta{
-		Service: *n.service.Load(), PeerAddr: peer, FailureDomain: n.config.FailureDomain, Region: n.config.Region,
+		Service: n.target.service(), PeerAddr: peer, FailureDomain: n.config.FailureDomain, Region: n.config.Region,
 		TargetState: n.targetState(r), Slots: uint32(max(r.Slots, 0)),
 	}
 }
--- a/mesh/reconfigure.go
+++ b/mesh/reconfigure.go
@@ -9,9 +9,8 @@
 // Reconfigure applies the settings that may change while the node runs.
 func (n *Node) Reconfigure(service string, budget RetryBudgetConfig, grace time.Duration) {
 	now := time.Now()
-	if service != *n.service.Load() {
-		n.service.Store(&service)
-		n.target.reset()
+	if n.target.setService(service) {
+		n.serviceChanged(now, service, "settings")
 	}
 	n.budgets.configure(now, budget)
 	n.grace.Store(int64(grace))
--- a/mesh/running.go
+++ b/mesh/running.go
@@ -48,6 +48,8 @@
 	runsByService map[string]uint32
 	// dependencyFailed reports that a sub-call was refused or failed.
 	dependencyFailed bool
+	// detached reports that the address has passed to a target of another service.
+	detached bool
 }
 
 func newInFlight() *inFlight { return &inFlight{runs: map[*run]struct{}{}, byID: map[string]*run{}} }
@@ -117,7 +119,7 @@
 	if parentID == "" && !r.parentIDsSeen {
 		distance := deadlineTolerance
 		for entry := range r.runs {
-			if d := entry.deadline.Sub(deadline).Abs(); d < distance {
+			if d := entry.deadline.Sub(deadline).Abs(); d < distance && !entry.detached {
 				parent, distance = entry, d
 			}
 		}
@@ -159,6 +161,16 @@
 	return visited, entry.dependencyFailed
 }
 
+// detach marks the requests in progress as those of an earlier target. A request with
+// the deadline of one of them is not taken for its sub-call.
+func (r *inFlight) detach() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for entry := range r.runs {
+		entry.detached = true
+	}
+}
+
 // startedBefore returns the requests at the target that were sent before t.
 func (r *inFlight) startedBefore(t time.Time) (calls []*message.Call) {
 	r.mu.Lock()
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -82,7 +82,7 @@
 
 // classify finds the route of a request and, for a sub-call, its parent.
 func (n *Node) classify(r *message.Request) (*request, *kind.Error) {
-	q := &request{call: &message.Call{Request: *r, CallerService: *n.service.Load(), Fingerprint: fingerprintOf(r)}}
+	q := &request{call: &message.Call{Request: *r, CallerService: n.target.service(), Fingerprint: fingerprintOf(r)}}
 	table := n.configuration.current()
 	if table == nil {
 		return q, kind.New(kind.Starting, "no configuration is known yet")
@@ -97,7 +97,10 @@
 	call := q.call
 	call.Unsafe = q.route.Unsafe
 	call.Service = n.configuration.nextService(q.route)
-	q.parent = n.inFlight.matchSubCall(r.Arrived, r.ParentID, r.Deadline)
+	if q.parent = n.inFlight.matchSubCall(r.Arrived, r.ParentID, r.Deadline); q.parent != nil {
+		// The address may have passed to a target of another service since.
+		call.CallerService = q.parent.call.Service
+	}
 	if t := q.route.Timeout; t > 0 && r.Arrived.Add(t).Before(call.Deadline) {
 		call.Deadline = r.Arrived.Add(t)
 	}
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -12,6 +13,9 @@
 type target struct {
 	mu      sync.Mutex
 	tracker *registration.Tracker
+	// configuredService is the service of the settings. It applies until a report
+	// names one.
+	configuredService string
 	// departuresKnown is false until the departures that earlier processes of
 	// this node acknowledged have been restored, or could not be read in time.
 	departuresKnown bool
@@ -26,10 +30,19 @@
 	slots    int
 }
 
-func newTarget(interval time.Duration) *target {
-	return &target{tracker: registration.NewTracker(interval)}
+func newTarget(service string, interval time.Duration) *target {
+	return &target{configuredService: service, tracker: registration.NewTracker(interval)}
 }
 
+// service returns the service of the target.
+func (t *target) service() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.serviceLocked()
+}
+
+func (t *target) serviceLocked() string { return cmp.Or(t.tracker.Service(), t.configuredService) }
+
 // report returns the current report.
 func (t *target) report(now time.Time) registration.Report {
 	t.mu.Lock()
@@ -37,12 +50,16 @@
 	return t.tracker.Current(now)
 }
 
-// acceptsWork returns the report of the target if it may get work.
-func (t *target) acceptsWork(now time.Time) (registration.Report, *kind.Error) {
+// acceptsWork returns the report of the target if it may get work for a service. The
+// address of a target that has ended may be given to one of another service.
+func (t *target) acceptsWork(now time.Time, service string) (registration.Report, *kind.Error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.tracker.Current(now)
+	own := t.serviceLocked()
 	switch {
+	case own != service:
+		return registration.Report{}, kind.Newf(kind.Starting, "the target belongs to service %s", own)
 	case r.State == registration.Draining || r.State == registration.Left:
 		return registration.Report{}, kind.Newf(kind.Draining, "target %s is %s", r.TargetID, r.State)
 	case r.State == registration.Unknown:
@@ -53,14 +70,18 @@
 	return r, nil
 }
 
-// applyReport applies a report. It returns the current report before and after,
-// and whether the new one was accepted rather than ignored as old.
+// applyReport applies a report. It returns the current report before and after, and
+// whether the new one was accepted rather than ignored as old. The service of both is
+// that of the target, also before its first report.
 func (t *target) applyReport(now time.Time, r registration.Report) (before, after registration.Report, accepted bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before = t.tracker.Current(now)
+	before.Service = t.serviceLocked()
 	accepted = t.tracker.ApplyReport(now, r)
-	return before, t.tracker.Current(now), accepted
+	after = t.tracker.Current(now)
+	after.Service = t.serviceLocked()
+	return before, after, accepted
 }
 
 // recordLeave records the departure of a target.
@@ -95,11 +116,17 @@
 	return t.departuresKnown
 }
 
-// reset drops the current report, for example when the service has changed.
-func (t *target) reset() {
+// setService applies the service of the settings. If that changes the service of the
+// target, the current report is dropped. It reports whether it does.
+func (t *target) setService(service string) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.tracker.Reset()
+	changed = service != t.serviceLocked()
+	t.configuredService = service
+	if changed {
+		t.tracker.Reset()
+	}
+	return changed
 }
 
 // departures returns the known departures.
--- a/mesh/target_reports.go
+++ b/mesh/target_reports.go
@@ -30,7 +30,7 @@
 // malformed if the service of the report is not published.
 func (n *Node) ReportTarget(ctx context.Context, r registration.Report) error {
 	now := time.Now()
-	if r.Service != *n.service.Load() && !n.servicePublished(r.Service) {
+	if r.Service != n.target.service() && !n.servicePublished(r.Service) {
 		return kind.Newf(kind.Malformed, "service %q of the report is not published", r.Service)
 	}
 	before, after, accepted := n.target.applyReport(now, r)
@@ -39,8 +39,8 @@
 		n.logLimited("report of the target ignored", "target", r.TargetID, "born", r.StartedAtMs, "seq", r.Seq, "state", r.State.String(), "seq_known", before.Seq)
 		return nil
 	}
-	if after.Service != *n.service.Load() {
-		n.service.Store(&after.Service)
+	if before.Service != after.Service {
+		n.serviceChanged(now, after.Service, "report")
 	}
 	n.noteNewProcess(before, after)
 	if n.notice.forget(after) {
@@ -60,6 +60,14 @@
 	return nil
 }
 
+// serviceChanged handles the news that the target belongs to another service than the
+// one before. What waits for the one before has not run, and goes to other targets.
+func (n *Node) serviceChanged(now time.Time, service, source string) {
+	running, waiting := n.gate.Reset(now)
+	n.inFlight.detach()
+	n.log.Info("service of the target changed", "service", service, "source", source, "at_earlier_target", running, "refused", waiting)
+}
+
 // TargetLeft records and saves the departure of a target.
 func (n *Node) TargetLeft(ctx context.Context, targetID string, born int64) {
 	d := n.target.recordLeave(targetID, born)
--- a/registration/report.go
+++ b/registration/report.go
@@ -21,3 +21,8 @@
 	// ColdStartRemaining is how much longer the target is slow after its start.
 	ColdStartRemaining time.Duration
 }
+
+// SameProcess reports whether two reports are of one process of a target.
+func (r *Report) SameProcess(other *Report) bool {
+	return r.TargetID == other.TargetID && r.StartedAtMs == other.StartedAtMs
+}
--- a/registration/tracker.go
+++ b/registration/tracker.go
@@ -132,5 +132,8 @@
 	return t.reportInterval > 0 && now.Sub(t.lastReportAt) > maxMissedReports*t.reportInterval
 }
 
+// Service returns the service of the latest accepted report, or "" if there is none.
+func (t *Tracker) Service() string { return t.current.Service }
+
 // Departures returns a copy of the stored departures, oldest first.
 func (t *Tracker) Departures() []Departure { return append([]Departure(nil), t.departures...) }
