Take a target for ready after a start only when it is confirmed

Cause: a process that has just started cannot order the first report by anything, and took it for the present state. It relied on the record in the store, which need not hold the departure: the acknowledgement waits for it for half a second only, and a restored store loses it.

After a start the first report that the target is ready is refused; a live target repeats it with a higher sequence number. Then the target is asked at its health path, which tells whether it is leaving. Wrong or missing statements count only as long as a report may be late (6 s). Nothing of an unconfirmed report is applied, so that the service of a late one is not, either.

Ruled out: refusing the acknowledgement until the store is back. It does not help if the store loses what it has acknowledged, and leaves a release beside a silent store without acknowledgements.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -146,7 +146,7 @@
 	bodyMemory := bytebudget.New(cmp.Or(config.BodyMemoryBytes, defaultBodyMemoryBytes))
 	n := &Node{
 		config: config, id: uuid.New(), log: config.Logger, startedAt: time.Now(),
-		configuration: newConfiguration(), target: newTarget(config.Service, config.ReportInterval), gate: gate.New(time.Now()),
+		configuration: newConfiguration(), target: newTarget(config.Service, config.ReportInterval, config.Records != nil), gate: gate.New(time.Now()),
 		gossipStarted: make(chan struct{}), lineLimiter: nodelog.NewLimiter(requestLinesPerSecond),
 		bodyMemory: bodyMemory, inFlight: newInFlight(), peers: peerlink.NewPool(bodyMemory), budgets: newBudgets(config.Budget),
 	}
@@ -258,6 +258,7 @@
 		case now := <-ticker.C:
 			n.checkPeers(now)
 			n.client.PruneIdle(now)
+			n.confirmTarget(now)
 			n.applyTargetState(now)
 			n.updateAppliedCutoff(now)
 			n.logLoad(now)
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -19,6 +19,12 @@
 	// departuresKnown is false until the departures that earlier processes of
 	// this node acknowledged have been restored, or could not be read in time.
 	departuresKnown bool
+	// confirmation decides when the target counts as ready after the start of this
+	// node. It is nil if nothing outlives the processes of the node.
+	confirmation *registration.Confirmation
+	// asking reports that a health check is in progress, askedAt when it began.
+	asking  bool
+	askedAt time.Time
 	// gateInput is the input with which the gate was last configured.
 	gateInput gateInput
 }
@@ -30,8 +36,12 @@
 	slots    int
 }
 
-func newTarget(service string, interval time.Duration) *target {
-	return &target{configuredService: service, tracker: registration.NewTracker(interval)}
+func newTarget(service string, interval time.Duration, confirm bool) *target {
+	t := &target{configuredService: service, tracker: registration.NewTracker(interval)}
+	if confirm {
+		t.confirmation = registration.NewConfirmation(time.Now())
+	}
+	return t
 }
 
 // service returns the service of the target.
@@ -125,10 +135,60 @@
 	t.configuredService = service
 	if changed {
 		t.tracker.Reset()
+		if t.confirmation != nil {
+			t.confirmation = registration.NewConfirmation(time.Now())
+		}
 	}
 	return changed
 }
 
+// observeUnconfirmed passes a report to the confirmation of the target. held is false if
+// the report can be applied, repeats tells whether it repeats an earlier one.
+func (t *target) observeUnconfirmed(now time.Time, r registration.Report) (held, repeats bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.State != registration.Ready || t.confirmation == nil || t.confirmation.Confirmed() {
+		return false, false
+	}
+	repeats = t.confirmation.Report(now, r)
+	return !t.confirmation.Confirmed(), repeats
+}
+
+// unconfirmedService returns the service of the process that has to be asked for its
+// health, if there is one.
+func (t *target) unconfirmedService() (service string, pending bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.confirmation == nil {
+		return "", false
+	}
+	r, pending := t.confirmation.Pending()
+	return r.Service, pending
+}
+
+// beginHealthCheck returns the report of the process that has to be asked for its
+// health. ok is false if none has to be, or one is being asked or was asked recently.
+func (t *target) beginHealthCheck(now time.Time) (r registration.Report, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.asking || now.Sub(t.askedAt) < healthInterval {
+		return registration.Report{}, false
+	}
+	if r, ok = t.confirmation.Pending(); ok {
+		t.asking, t.askedAt = true, now
+	}
+	return r, ok
+}
+
+// recordHealth records the outcome of a health check. If the target is confirmed by it,
+// it returns the report to apply.
+func (t *target) recordHealth(r registration.Report, h registration.Health) (latest registration.Report, confirmed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.asking = false
+	return t.confirmation.Answer(r, h)
+}
+
 // departures returns the known departures.
 func (t *target) departures() []registration.Departure {
 	t.mu.Lock()
--- a/mesh/target_reports.go
+++ b/mesh/target_reports.go
@@ -27,17 +27,27 @@
 
 // ReportTarget applies a report of the local target. When it returns, a
 // departure has been saved if the store answered in time. The error has kind
-// malformed if the service of the report is not published.
+// malformed if the service of the report is not published, and kind starting if the
+// target has to repeat the report.
 func (n *Node) ReportTarget(ctx context.Context, r registration.Report) error {
-	now := time.Now()
 	if r.Service != n.target.service() && !n.servicePublished(r.Service) {
 		return kind.Newf(kind.Malformed, "service %q of the report is not published", r.Service)
 	}
+	if held, err := n.awaitConfirmation(r); held {
+		return err
+	}
+	n.applyReport(ctx, r)
+	return nil
+}
+
+// applyReport applies a report of the local target that needs no confirmation.
+func (n *Node) applyReport(ctx context.Context, r registration.Report) {
+	now := time.Now()
 	before, after, accepted := n.target.applyReport(now, r)
 	if !accepted {
 		n.metrics.reportsIgnored.Inc()
 		n.logLimited("report of the target ignored", "target", r.TargetID, "born", r.StartedAtMs, "seq", r.Seq, "state", r.State.String(), "seq_known", before.Seq)
-		return nil
+		return
 	}
 	if before.Service != after.Service {
 		n.serviceChanged(now, after.Service, "report")
@@ -57,7 +67,6 @@
 	if before.State != after.State && after.State != registration.Ready {
 		n.saveDepartures(ctx)
 	}
-	return nil
 }
 
 // serviceChanged handles the news that the target belongs to another service than the
