Answer what is in progress when a draining node ends

Cause: the drain bounds what it takes after SIGTERM, and left what was there already to its deadline, which may be later than the end of the process.

When the process is about to end, requests in progress are given up and get the node's own answer: 503 if they have not run, otherwise 502.

--- a/mesh/drain.go
+++ b/mesh/drain.go
@@ -31,6 +31,8 @@
 	// drainPollInterval is how often Drain checks whether work is still in
 	// progress.
 	drainPollInterval = 20 * time.Millisecond
+	// answerPollInterval is how often Drain checks whether the last answers are written.
+	answerPollInterval = 5 * time.Millisecond
 )
 
 // Drain shuts the node down without interrupting requests. The node reports
@@ -45,6 +47,8 @@
 	grace := time.Duration(n.grace.Load())
 	deadline := started.Add(grace - exitMargin)
 	n.drainTimes.Store(&drainTimes{started: started, ends: deadline})
+	timer := time.AfterFunc(time.Until(deadline.Add(forcedPeerDrainTime-answerEndMargin)), n.endGraceOver)
+	defer timer.Stop()
 	n.log.Info("node draining", "in_progress", n.inProgress.Load(), "at_target", n.inFlight.count(), "connections", n.callers.Connections())
 	n.callers.Drain()
 	listening := true
@@ -69,6 +73,11 @@
 		time.Sleep(drainPollInterval)
 	}
 	n.peerServer.Drain(max(forcedPeerDrainTime, min(peerDrainTime, time.Until(deadline))))
+	// What is still in progress gets an answer of this node.
+	n.endGraceOver()
+	for end := time.Now().Add(answerEndMargin); time.Now().Before(end) && n.callers.Connections() > 0; {
+		time.Sleep(answerPollInterval)
+	}
 	n.log.Info("node stopped", "in_progress", n.inProgress.Load(), "connections", n.callers.Connections(), "after_ms", time.Since(started).Milliseconds())
 	n.Close()
 }
@@ -87,6 +96,7 @@
 
 // Close stops the node immediately.
 func (n *Node) Close() {
+	n.endGraceOver()
 	n.cancel()
 	n.callers.Stop()
 	n.peerServer.Stop()
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -133,6 +133,7 @@
 	}
 	sendCtx, cancel := context.WithDeadline(parent, answerBy)
 	defer cancel()
+	defer context.AfterFunc(n.graceOver, cancel)()
 	began := time.Now()
 	response, failure := n.client.Do(sendCtx, call, report.TargetID)
 	if failure != nil {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -99,6 +99,10 @@
 	targetClosed atomic.Bool
 	// drainTimes is nil until the node drains.
 	drainTimes atomic.Pointer[drainTimes]
+	// graceOver ends shortly before a draining node, when requests that are still in
+	// progress have to be answered.
+	graceOver    context.Context
+	endGraceOver context.CancelFunc
 	// grace holds the grace period as a time.Duration.
 	grace atomic.Int64
 	// inProgress counts requests in progress, of callers and of peers.
@@ -162,6 +166,7 @@
 	n.chains.table = chainadmission.NewTable()
 	n.crashes = newCrashGuard(n)
 	n.grace.Store(int64(config.GracePeriod))
+	n.graceOver, n.endGraceOver = context.WithCancel(context.Background())
 	n.callers = &httpconn.Server{
 		Names: config.Headers, Handle: n.serveRequest, Limits: n.requestLimits, DefaultTimeout: defaultTimeout, ParentOf: config.ParentOf, BodyMemory: bodyMemory,
 		OnMalformed: func(remote string, err error) {
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -52,9 +52,14 @@
 	var reply *message.Reply
 	if failure == nil {
 		requestCtx, cancel := context.WithDeadline(ctx, q.answerBy)
+		stop := context.AfterFunc(n.graceOver, cancel)
 		reply = n.handle(requestCtx, q)
+		stop()
 		cancel()
 		failure = reply.Failure
+		if failure != nil && failure.Kind == kind.Canceled && n.graceOver.Err() != nil {
+			failure = kind.New(kind.Draining, "the node ends before the request could be answered").WithRun(failure.Run)
+		}
 	}
 	now := time.Now()
 	if q.parent != nil {
