Do not take calls that end with their node for canceled ones

A node that ends gives up the runs at its target, since, with the kind of calls whose caller has left. The node of the caller did not send a safe call to another target then, as it had done when the connection was lost.

Such a call now fails with kind draining and the run state that it has. TestCallAtWorkWhenNodeEndsIsNotCanceled fails without the change (canceled), and passes.

--- a/mesh/drain.go
+++ b/mesh/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/goldcrestsail/goldcrestsail/kind"
 )
 
 const (
@@ -82,6 +84,15 @@
 	n.Close()
 }
 
+// failureAtEnd returns the failure of a request that may have been given up because the
+// node ends. Unlike one that its caller has left, it can be sent to another node.
+func (n *Node) failureAtEnd(failure *kind.Error) *kind.Error {
+	if failure == nil || failure.Kind != kind.Canceled || n.graceOver.Err() == nil {
+		return failure
+	}
+	return kind.New(kind.Draining, "the node ends before the request could be answered").WithRun(failure.Run)
+}
+
 // announceLeave tells the members that this node leaves.
 func (n *Node) announceLeave(deadline time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
--- a/mesh/drain_test.go
+++ b/mesh/drain_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/goldcrestsail/goldcrestsail/gate"
 	"github.com/goldcrestsail/goldcrestsail/httpconn"
+	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/message"
 	"github.com/goldcrestsail/goldcrestsail/registration"
 )
@@ -83,3 +84,24 @@
 	require.Less(t, <-told, time.Until(n.drainTimes.Load().ends))
 	<-drained
 }
+
+// Guards against a call of another node that is taken for one that its caller has left,
+// and not sent to another target, when this node ends with the call at work.
+func TestCallAtWorkWhenNodeEndsIsNotCanceled(t *testing.T) {
+	atWork, release := make(chan struct{}), make(chan struct{})
+	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(atWork)
+		<-release
+	}))
+	defer target.Close()
+	defer close(release)
+	n := startDrainTestNode(t, target.Listener.Addr().String())
+	replied := make(chan *message.Reply, 1)
+	go func() { replied <- n.servePeer(t.Context(), drainTestCall(drainTestTimeout)) }()
+	<-atWork
+	n.endGraceOver()
+	reply := <-replied
+	require.NotNil(t, reply.Failure)
+	require.Equal(t, kind.Draining, reply.Failure.Kind)
+	require.Equal(t, kind.MayHaveRun, reply.Failure.Run)
+}
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -137,7 +137,7 @@
 	began := time.Now()
 	response, failure := n.client.Do(sendCtx, call, report.TargetID)
 	if failure != nil {
-		return nil, failure
+		return nil, n.failureAtEnd(failure)
 	}
 	if !response.Misdirected {
 		n.observeNotice(began, report, response.Notice)
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -56,10 +56,7 @@
 		reply = n.handle(requestCtx, q)
 		stop()
 		cancel()
-		failure = reply.Failure
-		if failure != nil && failure.Kind == kind.Canceled && n.graceOver.Err() != nil {
-			failure = kind.New(kind.Draining, "the node ends before the request could be answered").WithRun(failure.Run)
-		}
+		failure = n.failureAtEnd(reply.Failure)
 	}
 	now := time.Now()
 	if q.parent != nil {
