--- a/mesh/replaced_target_test.go
+++ b/mesh/replaced_target_test.go
@@ -53,7 +53,7 @@
 		go func() { replies <- n.servePeer(t.Context(), c) }()
 	}
 	call("at-work", "s")
-	require.Eventually(t, func() bool { return n.inFlight.count() == 1 }, drainTestTimeout, time.Millisecond)
+	require.Eventually(t, func() bool { mu.Lock(); defer mu.Unlock(); return len(arrivals["t"]) == 1 }, drainTestTimeout, time.Millisecond)
 	for _, id := range []string{"w1", "w2", "w3"} {
 		call(id, "s")
 	}
