Keep the service that the target reports when settings are reloaded

Cause: a reload compared the service of the settings with the one in force. If the target's address had passed to another service, any other change of the settings took the node back to the one that the file still named: its target got no work until its next reports, and requests named the wrong caller.

Only a change of the service in the settings counts now. TestReloadKeepsReportedService fails without the change (the target belongs to service s), and passes.

--- a/mesh/replaced_target_test.go
+++ b/mesh/replaced_target_test.go
@@ -97,3 +97,16 @@
 	require.Same(t, entry, subCall.parent)
 	require.Equal(t, "s", subCall.call.CallerService)
 }
+
+// Guards against a reload of settings that still name the service of the earlier target:
+// the node goes back to it, and its target gets no work until it has reported again.
+func TestReloadKeepsReportedService(t *testing.T) {
+	n := startDrainTestNode(t, "127.0.0.78:1")
+	require.NoError(t, n.ApplyConfig(twoServices(), "test"))
+	require.NoError(t, n.ReportTarget(t.Context(), registration.Report{TargetID: "o", StartedAtMs: 2, Seq: 1, State: registration.Ready, Service: "other", Slots: 8}))
+	n.Reconfigure("s", RetryBudgetConfig{}, time.Minute)
+	_, failure := n.target.acceptsWork(time.Now(), "other")
+	require.Nil(t, failure)
+	n.Reconfigure("third", RetryBudgetConfig{}, time.Minute)
+	require.Equal(t, "third", n.target.service())
+}
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -126,12 +126,12 @@
 	return t.departuresKnown
 }
 
-// setService applies the service of the settings. If that changes the service of the
-// target, the current report is dropped. It reports whether it does.
+// setService applies the service of the settings. If they name another one than before,
+// and than the target, the current report is dropped. It reports whether it does.
 func (t *target) setService(service string) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changed = service != t.serviceLocked()
+	changed = service != t.configuredService && service != t.serviceLocked()
 	t.configuredService = service
 	if changed {
 		t.tracker.Reset()
