--- a/httpconn/close_idle_test.go
+++ b/httpconn/close_idle_test.go
@@ -81,12 +81,16 @@
 // happens when the goroutine that sets it is descheduled.
 type slowDeadlineConn struct {
 	net.Conn
-	reached atomic.Bool
-	proceed chan struct{}
+	// awaiting reports that the reader has set the deadline of a first request.
+	awaiting atomic.Bool
+	reached  atomic.Bool
+	proceed  chan struct{}
 }
 
 func (c *slowDeadlineConn) SetReadDeadline(deadline time.Time) error {
-	if !deadline.IsZero() && !deadline.After(time.Now()) {
+	if deadline.After(time.Now()) {
+		c.awaiting.Store(true)
+	} else if !deadline.IsZero() {
 		c.reached.Store(true)
 		<-c.proceed
 	}
@@ -109,6 +113,8 @@
 		}
 	}, func(c net.Conn) net.Conn { conn.Conn = c; return conn })
 	s.Drain()
+	// Before that, a connection that is to be closed when idle is closed at once.
+	require.Eventually(t, conn.awaiting.Load, testTimeout, time.Millisecond)
 	closing := make(chan struct{})
 	go func() {
 		defer close(closing)
