--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -88,38 +88,53 @@
 // admit begins a run of a call, waits for a slot of the target, and returns the report
 // of the target that the call may be sent to.
 func (n *Node) admit(ctx context.Context, call *message.Call) (*crashguard.Run, admission.ID, registration.Report, *kind.Error) {
-	rank := admission.MakeRank(int(call.Importance), call.Admitted, call.ChainLevel)
-	refused := func(failure *kind.Error) (*crashguard.Run, admission.ID, registration.Report, *kind.Error) {
-		return nil, 0, registration.Report{}, failure
-	}
 	for {
-		awaited, failure := n.target.acceptsWork(time.Now(), call.Service)
-		if failure != nil {
-			return refused(failure)
+		if _, failure := n.target.acceptsWork(time.Now(), call.Service); failure != nil {
+			return nil, 0, registration.Report{}, failure
 		}
 		guarded, failure := n.beginRun(ctx, call)
 		if failure != nil {
-			return refused(failure)
+			return nil, 0, registration.Report{}, failure
+		}
+		id, report, failure := n.acquireSlot(ctx, call)
+		if failure != nil {
+			guarded.End(false)
+			return nil, 0, registration.Report{}, failure
+		}
+		if !n.crashes.Outdated(guarded, call.KnownCrashes) {
+			return guarded, id, report, nil
 		}
+		// The request has become suspect while it was queued.
+		n.gate.Release(id, nil)
+		guarded.End(false)
+	}
+}
+
+// acquireSlot waits for a slot of the target and returns the report of the target whose
+// slot it is: while the call is queued, the target may announce its departure, or another
+// one may get its address.
+func (n *Node) acquireSlot(ctx context.Context, call *message.Call) (admission.ID, registration.Report, *kind.Error) {
+	rank := admission.MakeRank(int(call.Importance), call.Admitted, call.ChainLevel)
+	awaited, failure := n.target.acceptsWork(time.Now(), call.Service)
+	if failure != nil {
+		return 0, registration.Report{}, failure
+	}
+	for {
 		enqueuedAt := time.Now()
 		id, failure := n.gate.Acquire(ctx, gate.Request{Rank: rank, Deadline: call.Deadline, MaxWait: call.MaxWait, Repeat: call.Repeat, WaitForRate: call.WaitForRate})
 		if failure != nil {
-			guarded.End(false)
-			return refused(failure)
+			return 0, registration.Report{}, failure
 		}
 		n.metrics.queueTime.Update(time.Since(enqueuedAt).Seconds())
-		// While the request was queued, the target may have announced its departure, or
-		// another one may have got its address.
 		report, failure := n.target.acceptsWork(time.Now(), call.Service)
-		if failure == nil && report.SameProcess(&awaited) && !n.crashes.Outdated(guarded, call.KnownCrashes) {
-			return guarded, id, report, nil
+		if failure == nil && report.SameProcess(&awaited) {
+			return id, report, nil
 		}
 		n.gate.Release(id, nil)
-		guarded.End(false)
 		if failure != nil {
-			return refused(failure)
+			return 0, registration.Report{}, failure
 		}
-		// The slot was one of an earlier process, or the request has become suspect.
+		awaited = report
 	}
 }
 
