--- a/mesh/node.go
+++ b/mesh/node.go
@@ -99,8 +99,8 @@
 	targetClosed atomic.Bool
 	// drainTimes is nil until the node drains.
 	drainTimes atomic.Pointer[drainTimes]
-	// graceOver ends shortly before a draining node, when requests that are still in
-	// progress have to be answered.
+	// graceOver is canceled shortly before a draining node ends, when requests that are
+	// still in progress have to be answered.
 	graceOver    context.Context
 	endGraceOver context.CancelFunc
 	// grace holds the grace period as a time.Duration.
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -20,7 +20,7 @@
 	// this node acknowledged have been restored, or could not be read in time.
 	departuresKnown bool
 	// confirmation decides when the target counts as ready after the start of this
-	// node. It is nil if nothing outlives the processes of the node.
+	// node. It is nil without Records: nothing outlives the processes of the node then.
 	confirmation *registration.Confirmation
 	// asking reports that a health check is in progress, askedAt when it began.
 	asking  bool
--- a/registration/confirmation.go
+++ b/registration/confirmation.go
@@ -7,8 +7,7 @@
 const maxReportDelay = 6 * time.Second
 
 // maxUnansweredChecks is how many health checks may remain without a statement of the
-// target before its reports alone count. A target that cannot be asked is no worse off
-// than one that fails while it serves.
+// target before its reports alone count, as for a target that has no health path.
 const maxUnansweredChecks = 3
 
 // Confirmation decides when a node that has just started takes its target for ready.
@@ -21,8 +20,8 @@
 // one that fails counts only as long as reports may be late.
 type Confirmation struct {
 	startedAt time.Time
-	// candidate is the latest report that the target is ready, repeated reports that
-	// its process has sent an earlier one to this node.
+	// candidate is the latest report that the target is ready, of the process that
+	// started last; repeated reports that this process has sent another one before.
 	candidate Report
 	repeated  bool
 	// unanswered counts the health checks without a statement.
