Log what decides whether the end of a target is blamed on a request

New: how many of the requests at work were suspects before (earlier_suspects), a line for a broken run that is not taken for an end, with the outcome of the dial, one for the arrival of a report with its age, and 'request in quarantine' also for reports of the node itself.

--- a/mesh/crash_guard.go
+++ b/mesh/crash_guard.go
@@ -86,10 +86,19 @@
 		return
 	}
 	n.crashes.Merge(entry)
+	if len(entry.Crashed) > 0 {
+		n.log.Info("crash report of a peer", "suspects", len(entry.Crashed), "on_trial", entry.OnTrial,
+			"report_age_ms", time.Since(entry.At).Milliseconds(), "source", b.ID)
+	}
+	n.logQuarantined(entry, b.ID)
+}
+
+// logQuarantined logs the requests of an entry that are in quarantine.
+func (n *Node) logQuarantined(entry quarantine.Entry, source string) {
 	for _, f := range entry.Crashed {
 		if verdict := n.crashes.Check(f); verdict.State == quarantine.Quarantined {
 			n.log.Info("request in quarantine", "fingerprint", f.String(), "crashes", verdict.Crashes, "until", verdict.Until,
-				"report_age_ms", time.Since(entry.At).Milliseconds(), "source", b.ID)
+				"report_age_ms", time.Since(entry.At).Milliseconds(), "source", source)
 		}
 	}
 }
--- a/mesh/target_end.go
+++ b/mesh/target_end.go
@@ -50,6 +50,12 @@
 	return e.broken.Contains(r)
 }
 
+func (e *targetEnds) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.broken.Len()
+}
+
 func (e *targetEnds) take() []*quarantine.BrokenRun {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -107,6 +113,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), endProbeTimeout)
 	defer cancel()
 	if err := n.client.Probe(ctx); !errors.Is(err, syscall.ECONNREFUSED) {
+		n.log.Info("target's process not known to have ended", "broken_runs", n.ends.count(), "dial_error", err)
 		return false
 	}
 	report := n.target.report(time.Now())
@@ -144,6 +151,12 @@
 	for i, r := range runs {
 		fingerprints[i] = r.Fingerprint
 	}
+	earlierSuspects := 0
+	for _, f := range fingerprints {
+		if n.crashes.Check(f).State != quarantine.Clear {
+			earlierSuspects++
+		}
+	}
 	entries := n.crashes.ReportCrash(fingerprints)
 	n.ends.setEntries(entries)
 	suspects, onTrial := 0, false
@@ -151,11 +164,12 @@
 		suspects += len(e.Crashed)
 		onTrial = onTrial || e.OnTrial
 		n.recordTrialReport(e)
+		n.logQuarantined(e, "own target")
 	}
 	var requests []string
 	for _, r := range runs[:min(len(runs), maxLoggedRuns)] {
 		requests = append(requests, r.RequestID+" "+r.Fingerprint.String())
 	}
 	n.log.Warn("target's process ended", "target", ended.TargetID, "born", ended.StartedAtMs, "evidence", evidence,
-		"at_work", len(runs), "suspects", suspects, "on_trial", onTrial, "requests", requests)
+		"at_work", len(runs), "earlier_suspects", earlierSuspects, "suspects", suspects, "on_trial", onTrial, "requests", requests)
 }
--- a/quarantine/broken_runs.go
+++ b/quarantine/broken_runs.go
@@ -37,6 +37,9 @@
 	}
 }
 
+// Len returns the number of broken runs.
+func (b *BrokenRuns) Len() int { return len(b.runs) }
+
 // Contains reports whether r has been added and not been taken.
 func (b *BrokenRuns) Contains(r *BrokenRun) bool { return slices.Contains(b.runs, r) }
 
