Keep the trial of a broken run until the end of its target is known

What callers saw: a request that ends its targets went on ending them (17 to 20 in 5 s in the test), each time with all other requests at work there.

Cause: whether an end is one on trial was read from the trial in progress at the moment at which the end is noticed. Where no refused connection tells the end (the address accepts connections while the target is away, the next process listens already, the dial times out), the run and with it the trial are over when the report of the next process arrives. No end counts as one on trial then, and only four ends more than a second apart are left to conclude from.

A broken run now keeps whether it was on trial, and the end is judged by that.

go test ./platform -run TestCrashingRequestStopsReachingTargets/port before: 17 to 20 runs, 4 late (stopped there), 7 of 7 after: 7 to 9 runs, none late, 4 of 4

quarantine TestTrialCountsWhenEndOfTargetIsKnownLate shows the same without sockets; the table before had no way to be told of such a trial.

--- a/crashguard/guard.go
+++ b/crashguard/guard.go
@@ -34,10 +34,11 @@
 }
 
 // ReportCrash reports the requests that were in flight when the target crashed, and
-// returns the entries that are sent to the other nodes.
-func (g *Guard) ReportCrash(inFlight []quarantine.Fingerprint) []quarantine.Entry {
+// returns the entries that are sent to the other nodes. lostTrials are those whose run on
+// trial has ended before the crash was known.
+func (g *Guard) ReportCrash(inFlight, lostTrials []quarantine.Fingerprint) []quarantine.Entry {
 	g.mu.Lock()
-	effects := g.table.Crashed(time.Now(), inFlight)
+	effects := g.table.Crashed(time.Now(), inFlight, lostTrials)
 	g.notifyLocked()
 	g.mu.Unlock()
 	return g.publish(effects)
--- a/crashguard/run.go
+++ b/crashguard/run.go
@@ -26,6 +26,9 @@
 // Suspect reports that the request is suspected to end its target.
 func (r *Run) Suspect() bool { return r.mode != unrestricted }
 
+// OnTrial reports that the request runs on trial.
+func (r *Run) OnTrial() bool { return r.mode == onTrial }
+
 // End ends the run; completed reports that the target has responded.
 func (r *Run) End(completed bool) {
 	g, f := r.guard, r.fingerprint
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -144,7 +144,7 @@
 			inFlight = append(inFlight, quarantine.Fingerprint(s.request.fingerprint))
 		}
 	}
-	n.publish(n.quarantine.Crashed(n.w.now, inFlight))
+	n.publish(n.quarantine.Crashed(n.w.now, inFlight, nil))
 }
 
 // refuseWaiting refuses every request that the target has not got.
--- a/internal/soaktest/soak_test.go
+++ b/internal/soaktest/soak_test.go
@@ -191,7 +191,7 @@
 			s.replace()
 			fallthrough
 		case second%(5*time.Second) == 0:
-			s.crashes.Crashed(s.now, []quarantine.Fingerprint{quarantine.Fingerprint(s.serial), quarantine.Fingerprint(s.serial + 1)})
+			s.crashes.Crashed(s.now, []quarantine.Fingerprint{quarantine.Fingerprint(s.serial), quarantine.Fingerprint(s.serial + 1)}, nil)
 		case second%time.Second == 0:
 			s.crashes.Tick(s.now)
 			s.keys.Step(second, idempotency.Tick{})
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -69,7 +69,7 @@
 		n.ends.alive(entry.started)
 	}
 	var crashReport []byte
-	if failure != nil && failure.Kind == kind.AnswerTruncated && n.runBroke(call) {
+	if failure != nil && failure.Kind == kind.AnswerTruncated && n.runBroke(call, guarded.OnTrial()) {
 		failure = kind.Newf(kind.TargetCrashed, "the target ended while it ran the request: %s", failure.Detail)
 		crashReport = n.ends.reportOf(call.Fingerprint)
 	}
--- a/mesh/target_end.go
+++ b/mesh/target_end.go
@@ -91,8 +91,8 @@
 // its response was complete, and reports whether the process of the target has ended.
 // If it has, nothing listens at its address. Otherwise only the connection or the
 // response was lost, or the next process has started already; its report tells.
-func (n *Node) runBroke(call *message.Call) bool {
-	r := &quarantine.BrokenRun{Fingerprint: call.Fingerprint, RequestID: call.ID}
+func (n *Node) runBroke(call *message.Call, onTrial bool) bool {
+	r := &quarantine.BrokenRun{Fingerprint: call.Fingerprint, RequestID: call.ID, OnTrial: onTrial}
 	n.ends.add(r)
 	for {
 		ended, _, _ := n.ends.probe.Do("", func() (any, error) { return n.probeTargetEnd(), nil })
@@ -148,8 +148,12 @@
 func (n *Node) handleTargetEnd(ended registration.Report, evidence string, runs []*quarantine.BrokenRun) {
 	n.metrics.targetEnds.Inc()
 	fingerprints := make([]quarantine.Fingerprint, len(runs))
+	var lostTrials []quarantine.Fingerprint
 	for i, r := range runs {
 		fingerprints[i] = r.Fingerprint
+		if r.OnTrial {
+			lostTrials = append(lostTrials, r.Fingerprint)
+		}
 	}
 	earlierSuspects := 0
 	for _, f := range fingerprints {
@@ -157,7 +161,7 @@
 			earlierSuspects++
 		}
 	}
-	entries := n.crashes.ReportCrash(fingerprints)
+	entries := n.crashes.ReportCrash(fingerprints, lostTrials)
 	n.ends.setEntries(entries)
 	suspects, onTrial := 0, false
 	for _, e := range entries {
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -50,7 +50,7 @@
 	for i, f := range fingerprints {
 		inFlight[i] = quarantine.Fingerprint(f)
 	}
-	q.guard.ReportCrash(inFlight)
+	q.guard.ReportCrash(inFlight, nil)
 }
 
 // merge adds a quarantine entry broadcast by another node.
--- a/quarantine/broken_runs.go
+++ b/quarantine/broken_runs.go
@@ -19,6 +19,8 @@
 	Fingerprint Fingerprint
 	RequestID   string
 	At          time.Time
+	// OnTrial reports that the request was on trial.
+	OnTrial bool
 }
 
 // BrokenRuns holds broken runs until it is known whether the process of the target
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -33,14 +33,18 @@
 func (t *Table) Len() int { return len(t.records) }
 
 // Crashed records that the process of this node's target died while the requests
-// inFlight were running. If the request on trial is among them, the crash is not
-// attributed to other suspects: they have been running since before they became
-// suspect, and the request on trial is the likelier cause. With Config.RequireTrial
-// the crash is attributed to all, and counts as one on trial only without other
-// suspects.
-func (t *Table) Crashed(now time.Time, inFlight []Fingerprint) []Effect {
+// inFlight were running. lostTrials are those of them whose trial is over: their
+// connections ended before the end of the process was known. If one request was on trial,
+// the crash is not attributed to other suspects: they have been running since before they
+// became suspect, and the request on trial is the likelier cause. With
+// Config.RequireTrial the crash is attributed to all, and counts as one on trial only
+// without other suspects.
+func (t *Table) Crashed(now time.Time, inFlight, lostTrials []Fingerprint) []Effect {
 	now = now.Truncate(time.Millisecond)
-	trialInFlight := t.trialUntil.After(now) && slices.Contains(inFlight, t.trialFingerprint)
+	onTrial, trialInFlight := t.trialFingerprint, t.trialUntil.After(now) && slices.Contains(inFlight, t.trialFingerprint)
+	if !trialInFlight && len(lostTrials) > 0 {
+		onTrial, trialInFlight = lostTrials[0], true
+	}
 	t.trialUntil = time.Time{}
 	attributed := make([]Fingerprint, 0, len(inFlight))
 	otherSuspects := false
@@ -48,7 +52,7 @@
 		if slices.Contains(attributed, f) || t.completedWithin(f, now) {
 			continue
 		}
-		if trialInFlight && f != t.trialFingerprint && t.Check(now, f).State != Clear {
+		if trialInFlight && f != onTrial && t.Check(now, f).State != Clear {
 			otherSuspects = true
 			if !t.cfg.RequireTrial {
 				continue
@@ -59,8 +63,8 @@
 	if !t.cfg.RequireTrial || !trialInFlight || otherSuspects {
 		return t.publishEntries(now, attributed, nil)
 	}
-	others := slices.DeleteFunc(attributed, func(f Fingerprint) bool { return f == t.trialFingerprint })
-	proven := Entry{At: now, Expiry: now.Add(MaxEntryTTL), Crashed: []Fingerprint{t.trialFingerprint}, OnTrial: true}
+	others := slices.DeleteFunc(attributed, func(f Fingerprint) bool { return f == onTrial })
+	proven := Entry{At: now, Expiry: now.Add(MaxEntryTTL), Crashed: []Fingerprint{onTrial}, OnTrial: true}
 	return append([]Effect{t.publishEntry(proven)}, t.publishEntries(now, others, nil)...)
 }
 
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -18,12 +18,12 @@
 // or by expiry.
 func TestSecondCrashQuarantines(t *testing.T) {
 	table := quarantine.New(quarantine.Config{Reporter: 1})
-	require.Len(t, table.Crashed(start, []quarantine.Fingerprint{7, 8, 7}), 1)
+	require.Len(t, table.Crashed(start, []quarantine.Fingerprint{7, 8, 7}, nil), 1)
 	require.Equal(t, quarantine.Verdict{State: quarantine.Suspect, Crashes: 1}, table.Check(start, 7))
 	require.True(t, table.BeginTrial(start, 7))
 	require.False(t, table.BeginTrial(start, 8), "two suspects run at once")
 	// Request 8 has been running since before it became suspect.
-	table.Crashed(start.Add(time.Second), []quarantine.Fingerprint{7, 8})
+	table.Crashed(start.Add(time.Second), []quarantine.Fingerprint{7, 8}, nil)
 	require.Equal(t, quarantine.Quarantined, table.Check(start.Add(time.Second), 7).State)
 	require.Equal(t, quarantine.Suspect, table.Check(start.Add(time.Second), 8).State)
 	require.False(t, table.BeginTrial(start.Add(time.Second), 7), "a quarantined request runs")
@@ -40,7 +40,7 @@
 // suspects.
 func TestTrialTimeoutAdmitsNextSuspect(t *testing.T) {
 	table := quarantine.New(quarantine.Config{Reporter: 1})
-	table.Crashed(start, []quarantine.Fingerprint{1, 2})
+	table.Crashed(start, []quarantine.Fingerprint{1, 2}, nil)
 	require.True(t, table.BeginTrial(start, 1))
 	require.True(t, table.BeginTrial(start.Add(time.Minute), 2))
 	table.EndTrial(2)
@@ -51,13 +51,13 @@
 // that evict a quarantined request.
 func TestEvictionKeepsQuarantined(t *testing.T) {
 	table := quarantine.New(quarantine.Config{Reporter: 1, MaxRecords: 50})
-	table.Crashed(start, []quarantine.Fingerprint{1})
-	table.Crashed(start.Add(time.Second), []quarantine.Fingerprint{1})
+	table.Crashed(start, []quarantine.Fingerprint{1}, nil)
+	table.Crashed(start.Add(time.Second), []quarantine.Fingerprint{1}, nil)
 	var many []quarantine.Fingerprint
 	for i := range 500 {
 		many = append(many, quarantine.Fingerprint(100+i))
 	}
-	require.Len(t, table.Crashed(start.Add(2*time.Second), many), 9)
+	require.Len(t, table.Crashed(start.Add(2*time.Second), many, nil), 9)
 	require.Equal(t, 50, table.Len())
 	require.Equal(t, quarantine.Quarantined, table.Check(start.Add(2*time.Second), 1).State)
 }
@@ -222,7 +222,7 @@
 				}
 				running = others
 				i = len(running)
-				broadcast(step, r.target, tables[r.target].Crashed(now(step), inFlight))
+				broadcast(step, r.target, tables[r.target].Crashed(now(step), inFlight, nil))
 				resendAt = step + 100
 			}
 		}
--- a/quarantine/trial_policy_test.go
+++ b/quarantine/trial_policy_test.go
@@ -159,7 +159,7 @@
 		}
 	}
 	d.running = others
-	d.broadcast(r.node, table.Crashed(d.now(), inFlight))
+	d.broadcast(r.node, table.Crashed(d.now(), inFlight, nil))
 	d.upAt[r.node] = d.step + d.draw("down", 10, 60)
 	d.crashes = append(d.crashes, d.step)
 }
@@ -241,7 +241,7 @@
 func TestRequestThatCompletesElsewhereIsNotBlamed(t *testing.T) {
 	table := quarantine.New(trialConfig(1))
 	table.Completed(start, 7)
-	require.Empty(t, table.Crashed(start.Add(5*time.Second), []quarantine.Fingerprint{7}))
+	require.Empty(t, table.Crashed(start.Add(5*time.Second), []quarantine.Fingerprint{7}, nil))
 	for i := range uint64(5) {
 		at := start.Add(time.Duration(i) * 2 * time.Second)
 		require.True(t, table.Merge(at, quarantine.Entry{Reporter: 2, Seq: i, At: at, Expiry: at.Add(time.Minute), Crashed: []quarantine.Fingerprint{7}}))
@@ -274,14 +274,14 @@
 func TestQuarantineEndsWithTrial(t *testing.T) {
 	table := quarantine.New(trialConfig(1))
 	at := start
-	table.Crashed(at, []quarantine.Fingerprint{1, 2})
+	table.Crashed(at, []quarantine.Fingerprint{1, 2}, nil)
 	at = at.Add(time.Second)
-	table.Crashed(at, []quarantine.Fingerprint{1})
+	table.Crashed(at, []quarantine.Fingerprint{1}, nil)
 	crashOnTrial := func() {
 		at = at.Add(time.Second)
 		require.True(t, table.BeginTrial(at, 1))
 		require.False(t, table.BeginBesideOthers(at), "a suspect runs beside a trial")
-		table.Crashed(at, []quarantine.Fingerprint{1})
+		table.Crashed(at, []quarantine.Fingerprint{1}, nil)
 	}
 	crashOnTrial()
 	require.Equal(t, quarantine.Suspect, table.Check(at, 1).State)
@@ -299,6 +299,26 @@
 	require.Zero(t, table.Len())
 }
 
+// Guards against a trial without result, since the run has ended before the end of the
+// target is known, as told by the report of the next process.
+func TestTrialCountsWhenEndOfTargetIsKnownLate(t *testing.T) {
+	table := quarantine.New(trialConfig(1))
+	at := start
+	for range 2 {
+		table.Crashed(at, []quarantine.Fingerprint{1}, nil)
+		at = at.Add(100 * time.Millisecond)
+	}
+	for _, innocent := range []quarantine.Fingerprint{2, 3} {
+		require.Equal(t, quarantine.Suspect, table.Check(at, 1).State)
+		require.True(t, table.BeginTrial(at, 1))
+		table.EndTrial(1)
+		at = at.Add(100 * time.Millisecond)
+		table.Crashed(at, []quarantine.Fingerprint{1, innocent, 1}, []quarantine.Fingerprint{1, 1})
+		require.Equal(t, quarantine.Suspect, table.Check(at, innocent).State)
+	}
+	require.Equal(t, quarantine.Quarantined, table.Check(at, 1).State)
+}
+
 // Guards against an entry of a trial that names several requests, or that is lost in
 // encoding.
 func TestEntryOnTrialNamesOneRequest(t *testing.T) {
