Count a trial also beside suspects that were at work at fewer ends

Cause: one other suspect at work at the target voided a trial, whatever is known of it. After an end under load nearly every request is a suspect; copies that began before and hang keep being at work at the following ends. What the reports have in common was not used: the request on trial was at work at all ends, the others at some.

A trial now counts if no other request there has been at work at as many ends; of two with the same count neither is blamed, as before. If several trials were lost at the same end, the one with the most ends is judged.

--- a/quarantine/entry.go
+++ b/quarantine/entry.go
@@ -33,7 +33,7 @@
 	// Crashed holds requests that were in flight when a target's process died.
 	Crashed []Fingerprint
 	// OnTrial reports that the one request of Crashed was on trial, and no other
-	// suspect was running.
+	// request there had been at work at as many crashes.
 	OnTrial bool
 	// Completed holds suspects that completed without a crash.
 	Completed []Fingerprint
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -38,29 +38,31 @@
 // the crash is not attributed to other suspects: they have been running since before they
 // became suspect, and the request on trial is the likelier cause. With
 // Config.RequireTrial the crash is attributed to all, and counts as one on trial only
-// without other suspects.
+// if no other has been at work at as many crashes.
 func (t *Table) Crashed(now time.Time, inFlight, lostTrials []Fingerprint) []Effect {
 	now = now.Truncate(time.Millisecond)
-	onTrial, trialInFlight := t.trialFingerprint, t.trialUntil.After(now) && slices.Contains(inFlight, t.trialFingerprint)
-	if !trialInFlight && len(lostTrials) > 0 {
-		onTrial, trialInFlight = lostTrials[0], true
+	trials := lostTrials
+	if t.trialUntil.After(now) && slices.Contains(inFlight, t.trialFingerprint) {
+		trials = append(slices.Clone(trials), t.trialFingerprint)
 	}
 	t.trialUntil = time.Time{}
+	onTrial, trialInFlight := t.mostCrashes(now, trials), len(trials) > 0
 	attributed := make([]Fingerprint, 0, len(inFlight))
-	otherSuspects := false
+	endsOnTrial, rival := t.Check(now, onTrial).Crashes, false
 	for _, f := range inFlight {
 		if slices.Contains(attributed, f) || t.completedWithin(f, now) {
 			continue
 		}
-		if trialInFlight && f != onTrial && t.Check(now, f).State != Clear {
-			otherSuspects = true
-			if !t.cfg.RequireTrial {
+		if trialInFlight && f != onTrial {
+			verdict := t.Check(now, f)
+			if verdict.State != Clear && !t.cfg.RequireTrial {
 				continue
 			}
+			rival = rival || verdict.State != Clear && verdict.Crashes >= endsOnTrial
 		}
 		attributed = append(attributed, f)
 	}
-	if !t.cfg.RequireTrial || !trialInFlight || otherSuspects {
+	if !t.cfg.RequireTrial || !trialInFlight || rival {
 		return t.publishEntries(now, attributed, nil)
 	}
 	others := slices.DeleteFunc(attributed, func(f Fingerprint) bool { return f == onTrial })
@@ -68,6 +70,17 @@
 	return append([]Effect{t.publishEntry(proven)}, t.publishEntries(now, others, nil)...)
 }
 
+// mostCrashes returns the request with the most crashes, the first one of several.
+func (t *Table) mostCrashes(now time.Time, among []Fingerprint) (most Fingerprint) {
+	highest := -1
+	for _, f := range among {
+		if crashes := t.Check(now, f).Crashes; crashes > highest {
+			most, highest = f, crashes
+		}
+	}
+	return most
+}
+
 // CrashedElsewhere records that a request was at work at a target that ended together
 // with the node beside it, so that nobody else reports that. onTrial reports that the
 // request was on trial there.
--- a/quarantine/trial_policy_test.go
+++ b/quarantine/trial_policy_test.go
@@ -319,6 +319,39 @@
 	require.Equal(t, quarantine.Quarantined, table.Check(at, 1).State)
 }
 
+// Guards against a request that goes on ending targets since at each end another suspect
+// is at work there, one that hangs and was at work at a single other end; and against one
+// of two requests that were at work at the same ends being blamed for them.
+func TestTrialCountsBesideSuspectsOfFewerEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		endsOfOther int
+		want        quarantine.State
+	}{
+		"fewer ends":   {endsOfOther: 1, want: quarantine.Quarantined},
+		"as many ends": {endsOfOther: 2, want: quarantine.Suspect},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := quarantine.New(trialConfig(1))
+			at, others := start, []quarantine.Fingerprint{2, 3}
+			for i := range 2 {
+				inFlight := []quarantine.Fingerprint{1}
+				if i < c.endsOfOther {
+					inFlight = append(inFlight, others...)
+				}
+				table.Crashed(at, inFlight, nil)
+				at = at.Add(100 * time.Millisecond)
+			}
+			for _, other := range others {
+				require.True(t, table.BeginTrial(at, 1))
+				table.Crashed(at, []quarantine.Fingerprint{other, 1}, nil)
+				at = at.Add(100 * time.Millisecond)
+				require.Equal(t, quarantine.Suspect, table.Check(at, other).State)
+			}
+			require.Equal(t, c.want, table.Check(at, 1).State)
+		})
+	}
+}
+
 // Guards against an entry of a trial that names several requests, or that is lost in
 // encoding.
 func TestEntryOnTrialNamesOneRequest(t *testing.T) {
