Blame ends of targets also on runs that were given up

What callers saw: a request that ends its targets shortly after its caller has left or its deadline has passed ended one target with each copy, without bound.

Cause: only a broken connection made a run one of those that may have ended the target. A run that its node stops awaiting, since its caller has left or its time is over, was forgotten at once, though the target may go on with it. When the process ended nothing was at work any more: nobody was blamed, and the end was not even counted.

Such a run now stays among those that may have ended the target until its deadline and a second more, or until the target completes a run that began later. If a call finds the address refusing connections meanwhile, the end is looked into at once instead of at the report of the next process.

--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -68,11 +68,7 @@
 	if answered = failure == nil; answered {
 		n.ends.alive(entry.started)
 	}
-	var crashReport []byte
-	if failure != nil && failure.Kind == kind.AnswerTruncated && n.runBroke(call, guarded.OnTrial()) {
-		failure = kind.Newf(kind.TargetCrashed, "the target ended while it ran the request: %s", failure.Detail)
-		crashReport = n.ends.reportOf(call.Fingerprint)
-	}
+	failure, crashReport := n.observeTargetEnd(&sent, guarded.OnTrial(), failure)
 	ownTime, totalTime := n.inFlight.remove(time.Now(), entry)
 	n.metrics.targetTime.Update(totalTime.Seconds())
 	n.gate.Release(id, limiterSample(response, failure, ownTime, totalTime))
--- a/mesh/target_end.go
+++ b/mesh/target_end.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/singleflight"
 
+	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/message"
 	"github.com/goldcrestsail/goldcrestsail/quarantine"
 	"github.com/goldcrestsail/goldcrestsail/registration"
@@ -23,6 +24,9 @@
 	// endProbeTimeout bounds that dial, so that the answer to the caller is not held
 	// up. The target is on the same instance.
 	endProbeTimeout = 100 * time.Millisecond
+	// givenUpLinger is how long after its deadline a request that was given up may still
+	// be at work at the target.
+	givenUpLinger = time.Second
 	// maxLoggedRuns bounds the requests named in the log line about an end.
 	maxLoggedRuns = 16
 )
@@ -40,7 +44,6 @@
 func (e *targetEnds) add(r *quarantine.BrokenRun) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r.At = time.Now()
 	e.broken.Add(r)
 }
 
@@ -87,16 +90,34 @@
 	e.entries = entries
 }
 
+// observeTargetEnd looks for an end of the target's process in the failure of a run, if it
+// has failed. It returns the failure for the caller, and the report of the end if there
+// was one under the run.
+func (n *Node) observeTargetEnd(call *message.Call, onTrial bool, failure *kind.Error) (*kind.Error, []byte) {
+	switch {
+	case failure == nil:
+	case failure.Kind == kind.DialFailed:
+		n.dialFailed()
+	case failure.Kind == kind.AnswerTruncated:
+		if n.runBroke(call, onTrial) {
+			crashed := kind.Newf(kind.TargetCrashed, "the target ended while it ran the request: %s", failure.Detail)
+			return crashed, n.ends.reportOf(call.Fingerprint)
+		}
+	case failure.Run != kind.NotRun && (failure.Kind == kind.Canceled || failure.Kind == kind.DeadlineExpired):
+		n.runGivenUp(call, onTrial)
+	}
+	return failure, nil
+}
+
 // runBroke records that the connection on which the target ran a call ended before
 // its response was complete, and reports whether the process of the target has ended.
 // If it has, nothing listens at its address. Otherwise only the connection or the
 // response was lost, or the next process has started already; its report tells.
 func (n *Node) runBroke(call *message.Call, onTrial bool) bool {
-	r := &quarantine.BrokenRun{Fingerprint: call.Fingerprint, RequestID: call.ID, OnTrial: onTrial}
+	r := &quarantine.BrokenRun{Fingerprint: call.Fingerprint, RequestID: call.ID, OnTrial: onTrial, At: time.Now()}
 	n.ends.add(r)
 	for {
-		ended, _, _ := n.ends.probe.Do("", func() (any, error) { return n.probeTargetEnd(), nil })
-		if !ended.(bool) {
+		if !n.probeOnce() {
 			return false
 		}
 		// A probe that began before the run was added may have left it out.
@@ -106,6 +127,29 @@
 	}
 }
 
+// runGivenUp records that a call is no longer awaited that the target may go on running:
+// it may end the target all the same.
+func (n *Node) runGivenUp(call *message.Call, onTrial bool) {
+	until := time.Now()
+	if call.Deadline.After(until) {
+		until = call.Deadline
+	}
+	n.ends.add(&quarantine.BrokenRun{Fingerprint: call.Fingerprint, RequestID: call.ID, OnTrial: onTrial, At: until.Add(givenUpLinger)})
+}
+
+// dialFailed looks for an end of the target under runs that have been given up.
+func (n *Node) dialFailed() {
+	if n.ends.count() > 0 {
+		n.probeOnce()
+	}
+}
+
+// probeOnce calls probeTargetEnd, or waits for the result of a call in progress.
+func (n *Node) probeOnce() bool {
+	ended, _, _ := n.ends.probe.Do("", func() (any, error) { return n.probeTargetEnd(), nil })
+	return ended.(bool)
+}
+
 // probeTargetEnd reports whether the process of the target has ended without notice,
 // and handles that end.
 func (n *Node) probeTargetEnd() bool {
--- a/quarantine/broken_runs.go
+++ b/quarantine/broken_runs.go
@@ -14,11 +14,12 @@
 )
 
 // BrokenRun is a request whose connection to the target ended before its response
-// was complete.
+// was complete: the connection broke, or the request was given up.
 type BrokenRun struct {
 	Fingerprint Fingerprint
 	RequestID   string
-	At          time.Time
+	// At is until when the request may have been at work at the target.
+	At time.Time
 	// OnTrial reports that the request was on trial.
 	OnTrial bool
 }
@@ -27,11 +28,11 @@
 // has ended: a response may be lost, or a connection reset, while it goes on. It is
 // not safe for concurrent use.
 type BrokenRuns struct {
-	// runs is ordered by time.
+	// runs is in the order of Add.
 	runs []*BrokenRun
 }
 
-// Add adds a run that broke at r.At, which is not before that of the last one.
+// Add adds a run. The one that was added first makes room if there are too many.
 func (b *BrokenRuns) Add(r *BrokenRun) {
 	b.runs = append(b.runs, r)
 	if len(b.runs) > maxBrokenRuns {
@@ -45,7 +46,7 @@
 // Contains reports whether r has been added and not been taken.
 func (b *BrokenRuns) Contains(r *BrokenRun) bool { return slices.Contains(b.runs, r) }
 
-// Alive drops the runs that broke before at: the process of the target has begun a run
+// Alive drops the runs that were at work no longer than until at: the process of the target has begun a run
 // at that time and completed it.
 func (b *BrokenRuns) Alive(at time.Time) {
 	if len(b.runs) > 0 {
@@ -53,7 +54,7 @@
 	}
 }
 
-// Take removes and returns the runs that broke since the process of the target was
+// Take removes and returns the runs that were at work since the process of the target was
 // last known as alive. If it has ended, they were at work then or came later.
 func (b *BrokenRuns) Take(now time.Time) []*BrokenRun {
 	all := b.runs
