Let suspects of fewer ends make room in a full table first

Cause: a full table made room by dropping the suspect that expires first.

quarantine TestSuspectOfSeveralEndsOutlastsOthersInFullTable fails before (0 of 2 crashes left) and passes now.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -257,12 +257,15 @@
 	return r
 }
 
-// evictBefore orders records for eviction: by state, quarantined last, then by
-// expiry, then by fingerprint.
+// evictBefore orders records for eviction: by state, quarantined last, then by the number
+// of crashes, then by expiry, then by fingerprint.
 func (t *Table) evictBefore(f Fingerprint, r *record, g Fingerprint, s *record) bool {
 	if a, b := r.state(&t.cfg), s.state(&t.cfg); a != b {
 		return a < b
 	}
+	if a, b := len(r.crashes), len(s.crashes); a != b {
+		return a < b
+	}
 	if !r.expiry.Equal(s.expiry) {
 		return r.expiry.Before(s.expiry)
 	}
--- a/quarantine/trial_policy_test.go
+++ b/quarantine/trial_policy_test.go
@@ -353,6 +353,29 @@
 	}
 }
 
+// Guards against a request that is forgotten after each of its ends, since hundreds of
+// others that were at work at later ends take its place in a full table.
+func TestSuspectOfSeveralEndsOutlastsOthersInFullTable(t *testing.T) {
+	cfg := trialConfig(1)
+	cfg.MaxRecords = 8
+	table := quarantine.New(cfg)
+	at, next := start, quarantine.Fingerprint(2)
+	for range 2 {
+		table.Crashed(at, []quarantine.Fingerprint{1}, nil)
+		at = at.Add(100 * time.Millisecond)
+	}
+	for range 3 {
+		var others []quarantine.Fingerprint
+		for range cfg.MaxRecords {
+			others = append(others, next)
+			next++
+		}
+		table.Crashed(at, others, nil)
+		at = at.Add(100 * time.Millisecond)
+		require.Equal(t, 2, table.Check(at, 1).Crashes)
+	}
+}
+
 // Guards against an entry of a trial that names several requests, or that is lost in
 // encoding.
 func TestEntryOnTrialNamesOneRequest(t *testing.T) {
