Leave the answer for a refused connection to the table of kinds

A suspect whose designated target is away was answered as 'starting' instead of 'dial-failed'. The table of kinds and failureResponse answer both with 503, not run, and the same Retry-After, so the special case changed the kind in logs and metrics only, and hid which it was.

go test ./platform -run TestSuspectIsTriedAtOneTargetAtATime -count=2: passes with 2 or 3 targets away at once, as before.

--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -103,10 +103,6 @@
 	n.directory.Done(now, call.Service, id, routingResult(f.request, now.Sub(start), reply))
 	n.observeCutoffs(call.Service, id, reply, now)
 	n.observeCrash(call, reply)
-	if reply.Failure != nil && n.awaitsTrialTarget(call, reply.Failure) {
-		// The caller is told that the request has not run, and to come back.
-		reply.Failure = kind.Newf(kind.Starting, "the target at which the suspect request is tried is away: %s", reply.Failure.Detail)
-	}
 	if reply.Failure != nil && reply.Failure.Kind == kind.PeerLost && reply.Failure.Run != kind.NotRun {
 		n.lostPeers.add(id, call)
 	}
