Name when a broken run was last at work, and say which trial is judged

Wording only. BrokenRun.At meant the time of the break, and since runs that were given up are kept, also a time to come: it is Until now.

--- a/mesh/target_end.go
+++ b/mesh/target_end.go
@@ -114,7 +114,7 @@
 // If it has, nothing listens at its address. Otherwise only the connection or the
 // response was lost, or the next process has started already; its report tells.
 func (n *Node) runBroke(call *message.Call, onTrial bool) bool {
-	r := &quarantine.BrokenRun{Fingerprint: call.Fingerprint, RequestID: call.ID, OnTrial: onTrial, At: time.Now()}
+	r := &quarantine.BrokenRun{Fingerprint: call.Fingerprint, RequestID: call.ID, OnTrial: onTrial, Until: time.Now()}
 	n.ends.add(r)
 	for {
 		if !n.probeOnce() {
@@ -134,7 +134,7 @@
 	if call.Deadline.After(until) {
 		until = call.Deadline
 	}
-	n.ends.add(&quarantine.BrokenRun{Fingerprint: call.Fingerprint, RequestID: call.ID, OnTrial: onTrial, At: until.Add(givenUpLinger)})
+	n.ends.add(&quarantine.BrokenRun{Fingerprint: call.Fingerprint, RequestID: call.ID, OnTrial: onTrial, Until: until.Add(givenUpLinger)})
 }
 
 // dialFailed looks for an end of the target under runs that have been given up.
--- a/quarantine/broken_runs.go
+++ b/quarantine/broken_runs.go
@@ -18,8 +18,8 @@
 type BrokenRun struct {
 	Fingerprint Fingerprint
 	RequestID   string
-	// At is until when the request may have been at work at the target.
-	At time.Time
+	// Until is when the request was last at work at the target, at the latest.
+	Until time.Time
 	// OnTrial reports that the request was on trial.
 	OnTrial bool
 }
@@ -46,11 +46,11 @@
 // Contains reports whether r has been added and not been taken.
 func (b *BrokenRuns) Contains(r *BrokenRun) bool { return slices.Contains(b.runs, r) }
 
-// Alive drops the runs that were at work no longer than until at: the process of the target has begun a run
-// at that time and completed it.
+// Alive drops the runs that were at work no longer than until at: the process of the
+// target has begun a run at that time and completed it.
 func (b *BrokenRuns) Alive(at time.Time) {
 	if len(b.runs) > 0 {
-		b.runs = slices.DeleteFunc(b.runs, func(r *BrokenRun) bool { return r.At.Before(at) })
+		b.runs = slices.DeleteFunc(b.runs, func(r *BrokenRun) bool { return r.Until.Before(at) })
 	}
 }
 
@@ -59,5 +59,5 @@
 func (b *BrokenRuns) Take(now time.Time) []*BrokenRun {
 	all := b.runs
 	b.runs = nil
-	return slices.DeleteFunc(all, func(r *BrokenRun) bool { return now.Sub(r.At) > maxBreakAge })
+	return slices.DeleteFunc(all, func(r *BrokenRun) bool { return now.Sub(r.Until) > maxBreakAge })
 }
--- a/quarantine/broken_runs_test.go
+++ b/quarantine/broken_runs_test.go
@@ -14,7 +14,7 @@
 func TestBrokenRunsBeforeLastSignOfLifeAreNotBlamed(t *testing.T) {
 	var b quarantine.BrokenRuns
 	add := func(f quarantine.Fingerprint, at time.Duration) *quarantine.BrokenRun {
-		r := &quarantine.BrokenRun{Fingerprint: f, At: start.Add(at)}
+		r := &quarantine.BrokenRun{Fingerprint: f, Until: start.Add(at)}
 		b.Add(r)
 		return r
 	}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -34,11 +34,13 @@
 
 // Crashed records that the process of this node's target died while the requests
 // inFlight were running. lostTrials are those of them whose trial is over: their
-// connections ended before the end of the process was known. If one request was on trial,
-// the crash is not attributed to other suspects: they have been running since before they
-// became suspect, and the request on trial is the likelier cause. With
-// Config.RequireTrial the crash is attributed to all, and counts as one on trial only
-// if no other has been at work at as many crashes.
+// connections ended before the end of the process was known.
+//
+// If a request was on trial, the crash is not attributed to other suspects: they have
+// been running since before they became suspect, and the request on trial is the likelier
+// cause. With Config.RequireTrial the crash is attributed to all, and counts as one on
+// trial only if no other request has been at work at as many crashes; of several on
+// trial, the one with the most crashes is judged.
 func (t *Table) Crashed(now time.Time, inFlight, lostTrials []Fingerprint) []Effect {
 	now = now.Truncate(time.Millisecond)
 	trials := lostTrials
