--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -24,13 +24,13 @@
 // cases holds the cases by name. Each returns its exit code; trouble is false for the
 // run without the disruption.
 var cases = map[string]func(r *record, trouble bool) (int, error){
-	"crash-after-kill": crashAfterKill,
-	"crash-error-page": crashErrorPage,
-	"crash-give-up":    crashGiveUp,
-	"crash-twin":       crashTwin,
-	"head-refused":     headRefused,
-	"limits-raised":    limitsRaised,
-	"smuggled":         smuggled,
+	"crash-after-kill":  crashAfterKill,
+	"crash-error-page":  crashErrorPage,
+	"crash-give-up":     crashGiveUp,
+	"crash-twin":        crashTwin,
+	"limits-raised":     limitsRaised,
+	"smuggled":          smuggled,
+	"stale-after-drill": staleAfterDrill,
 }
 
 func main() {
