Clear a suspect only by completions of its own caller

Cause: the fingerprint of a request left its caller out, so that completions of one caller's request cleared the crashes under another's.

A fingerprint now holds a hash of the content and one of the caller, in the same 64 bits. A completion, a trial and the quarantine are of one caller's request; crashes make the same request of every caller suspect, at the same designated target, as they did before. Ruled out: the caller as part of an undivided fingerprint.

The lines about a request name its caller.

--- a/mesh/crash_guard.go
+++ b/mesh/crash_guard.go
@@ -35,9 +35,10 @@
 	})
 }
 
-// fingerprintOf returns the fingerprint of a request.
-func fingerprintOf(r *message.Request) quarantine.Fingerprint {
-	return quarantine.FingerprintOf(r.Method, r.Host, r.URI, r.Body)
+// fingerprintOf returns the fingerprint of a call. The entry node and the node beside the
+// target compute the same one, since the call carries the service of its caller.
+func fingerprintOf(call *message.Call) quarantine.Fingerprint {
+	return quarantine.FingerprintOf(call.CallerService, call.Method, call.Host, call.URI, call.Body)
 }
 
 // checkQuarantine sets what is known of crashes under a request before it is sent, and
--- a/mesh/events.go
+++ b/mesh/events.go
@@ -51,7 +51,7 @@
 	if q.parent != nil {
 		parent = q.parent.call.ID
 	}
-	fields := []any{"request_id", r.ID, "parent_id", parent, "route", route, "service", q.call.Service, "root", q.root, "fingerprint", q.call.Fingerprint.String(),
+	fields := []any{"request_id", r.ID, "parent_id", parent, "route", route, "service", q.call.Service, "root", q.root, "caller", q.call.CallerService, "fingerprint", q.call.Fingerprint.String(),
 		"importance", q.call.Importance, "chain_level", q.call.ChainLevel, "unsafe", q.call.Unsafe, "attempts", q.attempts,
 		"config_version", n.configuration.version(), "config_age_ms", n.configuration.age(now).Milliseconds(),
 		"took_ms", now.Sub(r.Arrived).Milliseconds(), "left_ms", r.Deadline.Sub(now).Milliseconds()}
@@ -68,7 +68,7 @@
 // logFailedAttempt logs an attempt that did not return a response of the
 // target.
 func (n *Node) logFailedAttempt(call *message.Call, target string, ownTarget bool, failure *kind.Error, duration time.Duration) {
-	n.logLimited("attempt failed", "request_id", call.ID, "service", call.Service, "target", target, "own_target", ownTarget, "repeat", call.Repeat, "importance", call.Importance, "fingerprint", call.Fingerprint.String(),
+	n.logLimited("attempt failed", "request_id", call.ID, "service", call.Service, "target", target, "own_target", ownTarget, "caller", call.CallerService, "repeat", call.Repeat, "importance", call.Importance, "fingerprint", call.Fingerprint.String(),
 		"kind", failure.Kind, "run_state", failure.Run, "detail", failure.Detail, "took_ms", duration.Milliseconds())
 }
 
@@ -76,7 +76,7 @@
 // answer, with the state that led to it.
 func (n *Node) logUnansweredCall(call *message.Call, reply *message.Reply) {
 	target := n.target.report(time.Now())
-	n.logLimited("call not answered by the target", "request_id", call.ID, "fingerprint", call.Fingerprint.String(), "importance", call.Importance, "chain_level", call.ChainLevel,
+	n.logLimited("call not answered by the target", "request_id", call.ID, "caller", call.CallerService, "fingerprint", call.Fingerprint.String(), "importance", call.Importance, "chain_level", call.ChainLevel,
 		"admitted", call.Admitted, "kind", reply.Failure.Kind, "run_state", reply.Failure.Run, "detail", reply.Failure.Detail,
 		"running", reply.Load.Running, "waiting", reply.Load.Waiting, "limit", reply.Load.Limit, "cutoff", reply.Load.Cutoff,
 		"target", target.TargetID, "target_state", target.State.String(), "target_seq", target.Seq)
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -22,7 +22,7 @@
 func (n *Node) servePeer(ctx context.Context, call *message.Call) *message.Reply {
 	n.inProgress.Add(1)
 	defer n.inProgress.Add(-1)
-	call.Fingerprint = fingerprintOf(&call.Request)
+	call.Fingerprint = fingerprintOf(call)
 	n.adoptNotice(call.Notice)
 	return n.execute(ctx, call)
 }
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -140,12 +140,13 @@
 	return f.node.directory.Pick(now, call.Service, input)
 }
 
-// pickDesignated picks the target that all nodes choose for a suspect. This node chooses
-// another one than its own, if there is one: it may end together with its target, and
-// then nobody would know under which request. A suspect on trial is tried at a single
-// target all the same.
+// pickDesignated picks the target that all nodes choose for a suspect, whoever its caller
+// is: then its callers do not end several targets at once. This node chooses another one
+// than its own, if there is one: it may end together with its target, and then nobody
+// would know under which request. A suspect on trial is tried at a single target all the
+// same.
 func (f *forwarding) pickDesignated(now time.Time, input routing.PickInput) (routing.TargetID, string, *kind.Error) {
-	input.Designated = uint64(f.request.call.Fingerprint)
+	input.Designated = uint64(f.request.call.Fingerprint.Content())
 	if f.node.crashes.RequiresTrial(f.request.call.KnownCrashes) {
 		return f.node.directory.Pick(now, f.request.call.Service, input)
 	}
--- a/mesh/replaced_target_test.go
+++ b/mesh/replaced_target_test.go
@@ -96,6 +96,16 @@
 	subCall := classify(parent.ID)
 	require.Same(t, entry, subCall.parent)
 	require.Equal(t, "s", subCall.call.CallerService)
+
+	// Crashes and completions under a call are known by one fingerprint at both of its
+	// nodes, which differs between callers.
+	require.NotEqual(t, client.call.Fingerprint, subCall.call.Fingerprint)
+	for _, q := range []*request{client, subCall} {
+		received := *q.call
+		received.Fingerprint = 0
+		require.NotNil(t, n.servePeer(t.Context(), &received))
+		require.Equal(t, q.call.Fingerprint, received.Fingerprint)
+	}
 }
 
 // Guards against a reload of settings that still name the service of the earlier target:
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -84,7 +84,10 @@
 
 // classify finds the route of a request and, for a sub-call, its parent.
 func (n *Node) classify(r *message.Request) (*request, *kind.Error) {
-	q := &request{call: &message.Call{Request: *r, CallerService: n.target.service(), Fingerprint: fingerprintOf(r)}}
+	q := &request{call: &message.Call{Request: *r, CallerService: n.target.service()}}
+	// The caller of a sub-call is known once its parent is; a request that is refused
+	// before has a fingerprint too.
+	q.call.Fingerprint = fingerprintOf(q.call)
 	table := n.configuration.current()
 	if table == nil {
 		return q, kind.New(kind.Starting, "no configuration is known yet")
@@ -100,8 +103,11 @@
 	call.Unsafe = q.route.Unsafe
 	call.Service = n.configuration.nextService(q.route)
 	if q.parent = n.inFlight.matchSubCall(r.Arrived, r.ParentID, r.Deadline); q.parent != nil {
-		// The address may have passed to a target of another service since.
-		call.CallerService = q.parent.call.Service
+		if service := q.parent.call.Service; service != call.CallerService {
+			// The address has passed to a target of another service since.
+			call.CallerService = service
+			call.Fingerprint = fingerprintOf(call)
+		}
 	}
 	if t := q.route.Timeout; t > 0 && r.Arrived.Add(t).Before(call.Deadline) {
 		call.Deadline = r.Arrived.Add(t)
--- a/quarantine/designated.go
+++ b/quarantine/designated.go
@@ -6,12 +6,12 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// DesignatedTarget returns the target on which a suspect may run, or "" if there
-// are no targets. It uses rendezvous hashing (Thaler and Ravishankar, 1998), so
+// DesignatedTarget returns the target on which a suspect may run, whoever its caller is, or
+// "" if there are no targets. It uses rendezvous hashing (Thaler and Ravishankar, 1998), so
 // that nodes with the same list of targets choose the same one.
 func DesignatedTarget(f Fingerprint, targets []string) string {
 	var fingerprintBytes [8]byte
-	binary.LittleEndian.PutUint64(fingerprintBytes[:], uint64(f))
+	binary.LittleEndian.PutUint64(fingerprintBytes[:], uint64(f.Content()))
 	best, bestScore := "", uint64(0)
 	for _, target := range targets {
 		hash := xxhash.New()
--- a/quarantine/fingerprint_status.go
+++ b/quarantine/fingerprint_status.go
@@ -19,7 +19,7 @@
 // fingerprint.
 func (t *Table) List(now time.Time) []FingerprintStatus {
 	var out []FingerprintStatus
-	for f, r := range t.records {
+	for f, r := range t.records.byFingerprint {
 		v := t.Check(now, f)
 		if v.State == Clear {
 			continue
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -24,6 +24,9 @@
 	onTrial       bool
 }
 
+// sameEntry reports that c and other come from the same entry.
+func (c crash) sameEntry(other crash) bool { return c.reporter == other.reporter && c.seq == other.seq }
+
 // record holds the crashes and the last completion of one fingerprint.
 type record struct {
 	// crashes holds the latest crashes after completedAt, ordered by time.
@@ -38,10 +41,8 @@
 	if !c.at.After(r.completedAt.Add(window)) {
 		return false
 	}
-	for _, other := range r.crashes {
-		if other.reporter == c.reporter && other.seq == c.seq {
-			return false
-		}
+	if slices.ContainsFunc(r.crashes, c.sameEntry) {
+		return false
 	}
 	i, _ := slices.BinarySearchFunc(r.crashes, c, compareCrashes)
 	r.crashes = slices.Insert(r.crashes, i, c)
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -9,7 +9,7 @@
 type Table struct {
 	cfg     Config
 	seq     uint64
-	records map[Fingerprint]*record
+	records recordSet
 	// completions is used only with Config.CompletionWindow.
 	completions completions
 	// trialFingerprint is the suspect running on this node's target, if trialUntil
@@ -26,11 +26,11 @@
 
 // New returns an empty table.
 func New(cfg Config) *Table {
-	return &Table{cfg: cfg.WithDefaults(), records: make(map[Fingerprint]*record)}
+	return &Table{cfg: cfg.WithDefaults(), records: newRecordSet()}
 }
 
 // Len returns the number of fingerprints with a record.
-func (t *Table) Len() int { return len(t.records) }
+func (t *Table) Len() int { return len(t.records.byFingerprint) }
 
 // Crashed records that the process of this node's target died while the requests
 // inFlight were running. lostTrials are those of them whose trial is over: their
@@ -60,7 +60,12 @@
 			if verdict.State != Clear && !t.cfg.RequireTrial {
 				continue
 			}
-			rival = rival || verdict.State != Clear && verdict.Crashes >= endsOnTrial
+			crashes, crashesOnTrial := verdict.Crashes, endsOnTrial
+			if f.Content() == onTrial.Content() {
+				// Each counts the crashes of the other, which tell nothing between them.
+				crashes, crashesOnTrial = t.ownCrashes(now, f), t.ownCrashes(now, onTrial)
+			}
+			rival = rival || verdict.State != Clear && crashes >= crashesOnTrial
 		}
 		attributed = append(attributed, f)
 	}
@@ -72,17 +77,27 @@
 	return append([]Effect{t.publishEntry(proven)}, t.publishEntries(now, others, nil)...)
 }
 
-// mostCrashes returns the request with the most crashes, the first one of several.
+// mostCrashes returns the request with the most crashes, of several the one with the most
+// under its own caller, of several the first one.
 func (t *Table) mostCrashes(now time.Time, among []Fingerprint) (most Fingerprint) {
-	highest := -1
+	highest, highestOwn := -1, -1
 	for _, f := range among {
-		if crashes := t.Check(now, f).Crashes; crashes > highest {
-			most, highest = f, crashes
+		crashes, own := t.Check(now, f).Crashes, t.ownCrashes(now, f)
+		if crashes > highest || crashes == highest && own > highestOwn {
+			most, highest, highestOwn = f, crashes, own
 		}
 	}
 	return most
 }
 
+// ownCrashes returns the number of crashes under f, without those under other callers.
+func (t *Table) ownCrashes(now time.Time, f Fingerprint) int {
+	if r := t.records.byFingerprint[f]; r != nil && r.expiry.After(now) {
+		return len(r.crashes)
+	}
+	return 0
+}
+
 // CrashedElsewhere records that a request was at work at a target that ended together
 // with the node beside it, so that nobody else reports that. onTrial reports that the
 // request was on trial there.
@@ -125,23 +140,31 @@
 // ObserveCompletion records that a request completed on any target, without publishing
 // it. It reports whether the request was suspect or quarantined.
 func (t *Table) ObserveCompletion(now time.Time, f Fingerprint) bool {
+	suspected := t.Check(now, f).State != Clear
 	if t.cfg.CompletionWindow > 0 {
 		t.completions.add(f, now)
 	}
-	r := t.records[f]
-	if r == nil || r.state(&t.cfg) == Clear || !r.expiry.After(now) {
+	if !suspected {
+		return false
+	}
+	expiry := now.Add(t.cfg.SuspectTTL)
+	r := t.getOrCreateRecord(f, expiry)
+	if r == nil {
 		return false
 	}
 	r.recordCompletion(now, t.cfg.CompletionWindow)
+	if expiry.After(r.expiry) {
+		r.expiry = expiry
+	}
 	return true
 }
 
 // Tick publishes pending completions that are due and removes expired records.
 // It should be called about once per CompletionDelay.
 func (t *Table) Tick(now time.Time) []Effect {
-	for f, r := range t.records {
+	for f, r := range t.records.byFingerprint {
 		if !r.expiry.After(now) {
-			delete(t.records, f)
+			t.records.remove(f)
 		}
 	}
 	if len(t.pendingCompletions) == 0 || t.publishAt.After(now) {
@@ -157,7 +180,7 @@
 	var cleared []Fingerprint
 	for _, f := range t.pendingCompletions {
 		// A completion does not clear a crash that followed it.
-		if r := t.records[f]; r != nil && r.state(&t.cfg) == Clear {
+		if t.Check(now, f).State == Clear {
 			cleared = append(cleared, f)
 		}
 	}
@@ -238,13 +261,13 @@
 // in the order of evictBefore to create one. It returns nil if that record is
 // quarantined and does not expire before expiry.
 func (t *Table) getOrCreateRecord(f Fingerprint, expiry time.Time) *record {
-	if r := t.records[f]; r != nil {
+	if r := t.records.byFingerprint[f]; r != nil {
 		return r
 	}
-	if len(t.records) >= t.cfg.MaxRecords {
+	if t.Len() >= t.cfg.MaxRecords {
 		var evictee Fingerprint
 		var evicteeRecord *record
-		for g, r := range t.records {
+		for g, r := range t.records.byFingerprint {
 			if evicteeRecord == nil || t.evictBefore(g, r, evictee, evicteeRecord) {
 				evictee, evicteeRecord = g, r
 			}
@@ -252,10 +275,10 @@
 		if evicteeRecord.state(&t.cfg) == Quarantined && !evicteeRecord.expiry.Before(expiry) {
 			return nil
 		}
-		delete(t.records, evictee)
+		t.records.remove(evictee)
 	}
 	r := &record{completedAt: t.completions.last(f)}
-	t.records[f] = r
+	t.records.add(f, r)
 	return r
 }
 
@@ -274,13 +297,18 @@
 	return f < g
 }
 
-// Check returns the state of a request at now.
+// Check returns the state of a request at now. Crashes under the same request of other
+// callers make it suspect, unless it has completed since. They don't quarantine it, as the
+// target may well complete it.
 func (t *Table) Check(now time.Time, f Fingerprint) Verdict {
-	r := t.records[f]
-	if r == nil || !r.expiry.After(now) {
-		return Verdict{}
+	var v Verdict
+	r := t.records.byFingerprint[f]
+	if r != nil && r.expiry.After(now) {
+		v.State, v.Crashes = r.state(&t.cfg), len(r.crashes)
+	}
+	if others := t.crashesOfOthers(now, f); others > 0 {
+		v.State, v.Crashes = max(v.State, Suspect), v.Crashes+others
 	}
-	v := Verdict{State: r.state(&t.cfg), Crashes: len(r.crashes)}
 	if v.State == Quarantined {
 		v.Until = r.quarantinedUntil(&t.cfg)
 		if !v.Until.After(now) {
@@ -290,6 +318,37 @@
 	return v
 }
 
+// crashesOfOthers returns the number of crashes under requests with the content of f that
+// other callers have sent, without those that a completion of f rules out.
+func (t *Table) crashesOfOthers(now time.Time, f Fingerprint) int {
+	callers := t.records.byContent[f.Content()]
+	if len(callers) == 0 {
+		return 0
+	}
+	completedAt := t.completions.last(f)
+	var counted []crash
+	if own := t.records.byFingerprint[f]; own != nil {
+		if own.completedAt.After(completedAt) {
+			completedAt = own.completedAt
+		}
+		// Requests of several callers may have been at work at the same crash.
+		counted = slices.Clone(own.crashes)
+	}
+	ownCrashes := len(counted)
+	for _, g := range callers {
+		r := t.records.byFingerprint[g]
+		if g == f || !r.expiry.After(now) {
+			continue
+		}
+		for _, c := range r.crashes {
+			if c.at.After(completedAt.Add(t.cfg.CompletionWindow)) && !slices.ContainsFunc(counted, c.sameEntry) {
+				counted = append(counted, c)
+			}
+		}
+	}
+	return len(counted) - ownCrashes
+}
+
 // BeginTrial starts a trial, in which the suspect f runs on this node's target.
 // It reports false if f is quarantined, or another suspect is running: suspects on
 // trial run one at a time, so that a crash is attributed to only one of them. The
