Refuse responses whose status is none

What callers saw: not seen here by the operators; on other systems of this kind an answer with status 000 reached the client. Here a response with status 000, 001 or 099 whose body is a response, or that has no length, made the client get that other response as a 200; 600 and 999 were passed on, and what follows a 101 was read as HTTP.

Cause: http.ReadResponse takes any three digits for a status, and the node took all below 200 for interim ones. The evidence: with httphead.CheckResponse cut to the check of fields, 8 forms of TestSpoiledHeadIsNoResponse fail (000 with a response as its body, 001, 099, 101, 600, 999, another major version, a control byte in the reason), and one each of TestSpoiledHealthAnswerIsNone and of node TestPartialResponseIsNotForwarded; status 000 with a plain body was refused before.

--- a/httpconn/health_test.go
+++ b/httpconn/health_test.go
@@ -34,6 +34,7 @@
 	for name, response := range map[string]string{
 		"blank in a name":          "HTTP/1.1 200 OK\r\nX-Target: t\r\n2026-12-05 11:22:05 WARN slow query\r\nContent-Length: 0\r\n\r\n",
 		"blank in an interim head": "HTTP/1.1 103 E\r\nX Note: n\r\n\r\nHTTP/1.1 200 OK\r\nX-Target: t\r\nContent-Length: 0\r\n\r\n",
+		"status 000":               "HTTP/1.1 000 None\r\nX-Target: t\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			target := startScriptedTarget(t, func(c net.Conn, br *bufio.Reader) {
--- a/httpconn/target_conn.go
+++ b/httpconn/target_conn.go
@@ -137,7 +137,7 @@
 		if err != nil {
 			return nil, nil, nil, err
 		}
-		if err := httphead.CheckFields(response.Header); err != nil {
+		if err := httphead.CheckHTTP1Response(response); err != nil {
 			return nil, nil, nil, err
 		}
 		if response.StatusCode < http.StatusOK {
--- a/httpconn/target_head_test.go
+++ b/httpconn/target_head_test.go
@@ -13,6 +13,9 @@
 	"github.com/goldcrestsail/goldcrestsail/kind"
 )
 
+// embedded is a whole response to request a, as the body of another one.
+const embedded = "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\ninner"
+
 func responseHead(status, fields string) string {
 	return "HTTP/1.1 " + status + "\r\nX-Id: a\r\nX-Seal: s\r\n" + fields + "Content-Length: 4\r\n\r\nbody"
 }
@@ -43,6 +46,19 @@
 	"blank in a trailer":             chunkedResponse("X Note: n\r\n"),
 	"blank before a trailer's colon": chunkedResponse("X-Note : n\r\n"),
 	"blank in an interim head":       "HTTP/1.1 103 Early Hints\r\nX Note: n\r\n\r\n" + responseHead("200 OK", ""),
+	"switch of the protocol":         "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + responseHead("200 OK", ""),
+	"status 000":                     responseHead("000 None", ""),
+	"status 000, body is a response": "HTTP/1.1 000 None\r\nX-Id: a\r\nX-Seal: s\r\nContent-Length: 64\r\n\r\n" + embedded,
+	"status 001, no body":            "HTTP/1.1 001 None\r\nX-Id: a\r\nX-Seal: s\r\n\r\n" + embedded,
+	"status 099, no body":            "HTTP/1.1 099 None\r\nX-Id: a\r\nX-Seal: s\r\n\r\n" + embedded,
+	"status 600":                     responseHead("600 None", ""),
+	"status 999":                     responseHead("999 None", ""),
+	"status of two digits":           responseHead("20 OK", ""),
+	"status of four digits":          responseHead("2000 OK", ""),
+	"status with a sign":             responseHead("+20 OK", ""),
+	"status with a letter":           responseHead("2x0 OK", ""),
+	"control byte in the reason":     responseHead("200 O\x01K", ""),
+	"other major version":            "HTTP/2.0 200 OK\r\nX-Id: a\r\nX-Seal: s\r\nContent-Length: 4\r\n\r\nbody",
 }
 
 // unusualResponses are responses with the body "body".
--- a/internal/httphead/transport.go
+++ b/internal/httphead/transport.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckFields(response.Header); err != nil {
+	if err := CheckResponse(response); err != nil {
 		_ = response.Body.Close()
 		return nil, err
 	}
--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -49,6 +49,8 @@
 			writeRawAndClose(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Note: n\r\n\r\n")
 		case "/blank in an interim head":
 			writeRawAndClose(w, "HTTP/1.1 103 E\r\nX Note: n\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+		case "/status 000":
+			writeRawAndClose(w, "HTTP/1.1 000 None\r\nContent-Length: 4\r\n\r\nbody")
 		case "/nothing":
 			writeRawAndClose(w, "")
 		case "/large":
@@ -65,6 +67,7 @@
 		{"/blank%20before%20a%20colon", "answer-mismatched", "may-have-run"},
 		{"/blank%20in%20a%20trailer", "answer-mismatched", "may-have-run"},
 		{"/blank%20in%20an%20interim%20head", "answer-mismatched", "may-have-run"},
+		{"/status%20000", "answer-mismatched", "may-have-run"},
 		{"/large", "answer-too-large", "ran"},
 	} {
 		r := f.call(n, http.MethodGet, "front", c.path)
--- a/peerlink/check_head.go
+++ b/peerlink/check_head.go
@@ -13,7 +13,7 @@
 	if r.Response == nil {
 		return
 	}
-	valid := true
+	valid := httphead.ValidStatus(r.Response.Status)
 	for _, f := range r.Response.Header {
 		valid = valid && httphead.ValidField(f.Name, f.Value)
 	}
--- a/peerlink/check_head_test.go
+++ b/peerlink/check_head_test.go
@@ -21,6 +21,7 @@
 		"blank after a name":      {200, message.Field{Name: "Content-Length ", Value: "4"}, false},
 		"control byte in a name":  {200, message.Field{Name: "X-No\x01te", Value: "n"}, false},
 		"control byte in a value": {200, message.Field{Name: "X-Note", Value: "a\rb"}, false},
+		"status 600":              {600, message.Field{Name: "X-Note", Value: "n"}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := &message.Reply{Response: &message.Response{Status: c.status, Header: []message.Field{c.field}}}
