Let a trial last as long as its run, not as its caller

Cause: when the caller of a run on trial left, the run was cut and the trial ended, and the next copy began its own while the target might still be at work.

--- a/crashguard/guard.go
+++ b/crashguard/guard.go
@@ -84,7 +84,7 @@
 		verdict := g.table.Check(now, f)
 		mode := g.mode(verdict, knownCrashes)
 		started := verdict.State != quarantine.Quarantined && g.startLocked(now, f, mode)
-		changed := g.changed
+		changed, trialUntil := g.changed, g.table.TrialUntil()
 		g.mu.Unlock()
 		var wait time.Duration
 		switch {
@@ -94,6 +94,9 @@
 			if wait = trialDeadline.Sub(now); wait <= 0 {
 				return nil, kind.New(kind.QueueTimeout, "another request that may crash the target is running")
 			}
+			if left := trialUntil.Sub(now); left > 0 {
+				wait = min(wait, left)
+			}
 		case mode != unrestricted || knownCrashes == 0 || g.cfg.Table.RequireTrial || !now.Before(reportDeadline):
 			return &Run{guard: g, fingerprint: f, mode: mode}, nil
 		default:
--- a/crashguard/run.go
+++ b/crashguard/run.go
@@ -11,6 +11,8 @@
 	guard       *Guard
 	fingerprint quarantine.Fingerprint
 	mode        runMode
+	// until is set by GiveUp.
+	until time.Time
 }
 
 // runMode is how the run of a request is restricted. Higher modes are more
@@ -29,12 +31,19 @@
 // OnTrial reports that the request runs on trial.
 func (r *Run) OnTrial() bool { return r.mode == onTrial }
 
+// GiveUp records that the run is no longer awaited and may go on at the target until the
+// given time at the latest. A trial lasts as long, beyond End: another copy of the request
+// would otherwise run beside it.
+func (r *Run) GiveUp(until time.Time) { r.until = until }
+
 // End ends the run; completed reports that the target has responded.
 func (r *Run) End(completed bool) {
 	g, f := r.guard, r.fingerprint
 	g.mu.Lock()
 	var effects []quarantine.Effect
 	switch {
+	case r.mode == onTrial && !completed && !r.until.IsZero():
+		g.table.EndTrialAt(f, r.until)
 	case r.mode == besideOthers:
 		g.table.EndBesideOthers()
 	case r.mode == onTrial && !completed:
--- a/mesh/execute.go
+++ b/mesh/execute.go
@@ -64,11 +64,13 @@
 	entry := n.inFlight.add(time.Now(), &bounded)
 	sent := bounded
 	sent.Deadline = entry.deadline
-	response, failure := n.sendToTarget(ctx, &sent, report, answerBy.Add(targetAnswerMargin))
+	runCtx, endRun := n.runContext(ctx, &sent, guarded.OnTrial())
+	response, failure := n.sendToTarget(runCtx, &sent, report, answerBy.Add(targetAnswerMargin))
+	endRun()
 	if answered = failure == nil; answered {
 		n.ends.alive(entry.started)
 	}
-	failure, crashReport := n.observeTargetEnd(&sent, guarded.OnTrial(), failure)
+	failure, crashReport := n.observeTargetEnd(&sent, guarded, failure)
 	ownTime, totalTime := n.inFlight.remove(time.Now(), entry)
 	n.metrics.targetTime.Update(totalTime.Seconds())
 	n.gate.Release(id, limiterSample(response, failure, ownTime, totalTime))
@@ -134,15 +136,32 @@
 	}
 }
 
-// sendToTarget sends a request to the target. An idempotent request is canceled
-// when its caller disconnects; an unsafe one continues, since it may already
-// have had an effect. The response is awaited until answerBy.
-func (n *Node) sendToTarget(ctx context.Context, call *message.Call, report registration.Report, answerBy time.Time) (*httpconn.TargetResponse, *kind.Error) {
-	parent := ctx
+// runContext returns the context of a run and the function that ends it. An idempotent
+// request is canceled when its caller disconnects; an unsafe one continues, since it may
+// already have had an effect, and one on trial for trialLinger, since the next copy would
+// otherwise be tried before this one has shown whether it ends the target.
+func (n *Node) runContext(ctx context.Context, call *message.Call, onTrial bool) (context.Context, context.CancelFunc) {
+	if !call.Unsafe && !onTrial {
+		return ctx, func() {}
+	}
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	if call.Unsafe {
-		parent = context.WithoutCancel(ctx)
+		return runCtx, cancel
+	}
+	stop := context.AfterFunc(ctx, func() {
+		timer := time.AfterFunc(trialLinger, cancel)
+		context.AfterFunc(runCtx, func() { timer.Stop() })
+	})
+	return runCtx, func() {
+		stop()
+		cancel()
 	}
-	sendCtx, cancel := context.WithDeadline(parent, answerBy)
+}
+
+// sendToTarget sends a request to the target, and cancels it when ctx ends. The response is
+// awaited until answerBy.
+func (n *Node) sendToTarget(ctx context.Context, call *message.Call, report registration.Report, answerBy time.Time) (*httpconn.TargetResponse, *kind.Error) {
+	sendCtx, cancel := context.WithDeadline(ctx, answerBy)
 	defer cancel()
 	defer context.AfterFunc(n.graceOver, cancel)()
 	began := time.Now()
--- a/mesh/target_end.go
+++ b/mesh/target_end.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/singleflight"
 
+	"github.com/goldcrestsail/goldcrestsail/crashguard"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/message"
 	"github.com/goldcrestsail/goldcrestsail/quarantine"
@@ -93,18 +94,18 @@
 // observeTargetEnd looks for an end of the target's process in the failure of a run, if it
 // has failed. It returns the failure for the caller, and the report of the end if there
 // was one under the run.
-func (n *Node) observeTargetEnd(call *message.Call, onTrial bool, failure *kind.Error) (*kind.Error, []byte) {
+func (n *Node) observeTargetEnd(call *message.Call, run *crashguard.Run, failure *kind.Error) (*kind.Error, []byte) {
 	switch {
 	case failure == nil:
 	case failure.Kind == kind.DialFailed:
 		n.dialFailed()
 	case failure.Kind == kind.AnswerTruncated:
-		if n.runBroke(call, onTrial) {
+		if n.runBroke(call, run.OnTrial()) {
 			crashed := kind.Newf(kind.TargetCrashed, "the target ended while it ran the request: %s", failure.Detail)
 			return crashed, n.ends.reportOf(call.Fingerprint)
 		}
 	case failure.Run != kind.NotRun && (failure.Kind == kind.Canceled || failure.Kind == kind.DeadlineExpired):
-		n.runGivenUp(call, onTrial)
+		run.GiveUp(n.runGivenUp(call, run.OnTrial()))
 	}
 	return failure, nil
 }
@@ -128,13 +129,15 @@
 }
 
 // runGivenUp records that a call is no longer awaited that the target may go on running:
-// it may end the target all the same.
-func (n *Node) runGivenUp(call *message.Call, onTrial bool) {
+// it may end the target all the same. It returns until when.
+func (n *Node) runGivenUp(call *message.Call, onTrial bool) time.Time {
 	until := time.Now()
 	if call.Deadline.After(until) {
 		until = call.Deadline
 	}
-	n.ends.add(&quarantine.BrokenRun{Fingerprint: call.Fingerprint, RequestID: call.ID, OnTrial: onTrial, Until: until.Add(givenUpLinger)})
+	until = until.Add(givenUpLinger)
+	n.ends.add(&quarantine.BrokenRun{Fingerprint: call.Fingerprint, RequestID: call.ID, OnTrial: onTrial, Until: until})
+	return until
 }
 
 // dialFailed looks for an end of the target under runs that have been given up.
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -352,7 +352,8 @@
 // BeginTrial starts a trial, in which the suspect f runs on this node's target.
 // It reports false if f is quarantined, or another suspect is running: suspects on
 // trial run one at a time, so that a crash is attributed to only one of them. The
-// trial ends with Completed, EndTrial, Crashed or after Config.TrialTimeout.
+// trial ends with Completed, EndTrial, Crashed, at the time of EndTrialAt or after
+// Config.TrialTimeout.
 func (t *Table) BeginTrial(now time.Time, f Fingerprint) bool {
 	if t.trialUntil.After(now) || t.besideOthers > 0 || t.Check(now, f).State == Quarantined {
 		return false
@@ -369,6 +370,19 @@
 	}
 }
 
+// EndTrialAt ends the trial of f without a result at a later time, unless
+// Config.TrialTimeout ends it before: its run is no longer awaited, but may go on at the
+// target.
+func (t *Table) EndTrialAt(f Fingerprint, until time.Time) {
+	if t.trialFingerprint == f && until.Before(t.trialUntil) {
+		t.trialUntil = until
+	}
+}
+
+// TrialUntil returns the end of the trial in progress if nothing ends it before, or a time
+// that has passed.
+func (t *Table) TrialUntil() time.Time { return t.trialUntil }
+
 // BeginBesideOthers starts a run of a suspect on this node's target beside other
 // suspects. It reports false while one is on trial. EndBesideOthers ends the run.
 func (t *Table) BeginBesideOthers(now time.Time) bool {
--- a/quarantine/trial_policy_test.go
+++ b/quarantine/trial_policy_test.go
@@ -397,3 +397,25 @@
 	_, err = quarantine.Decode(e.Encode())
 	require.Error(t, err)
 }
+
+// Guards against a trial that ends with its run though the target may go on with it, and
+// against one that lasts longer than the target may.
+func TestTrialThatEndsLater(t *testing.T) {
+	table := quarantine.New(trialConfig(1))
+	require.True(t, table.BeginTrial(start, 1))
+	table.EndTrialAt(2, start)
+	require.False(t, table.BeginTrial(start, 2), "another request has ended the trial")
+	table.EndTrialAt(1, start.Add(time.Second))
+	require.Equal(t, start.Add(time.Second), table.TrialUntil())
+	require.False(t, table.BeginTrial(start.Add(999*time.Millisecond), 1))
+	require.False(t, table.BeginBesideOthers(start.Add(999*time.Millisecond)))
+	table.EndTrialAt(1, start.Add(time.Hour))
+	require.True(t, table.BeginTrial(start.Add(time.Second), 1))
+	for range 2 {
+		table.EndTrialAt(1, start.Add(2*time.Second))
+		table.Crashed(start.Add(time.Second), []quarantine.Fingerprint{1}, nil)
+		require.False(t, table.TrialUntil().After(start.Add(time.Second)), "the end of the target has not ended the trial")
+		table.BeginTrial(start.Add(time.Second), 1)
+	}
+	require.Equal(t, quarantine.Quarantined, table.Check(start.Add(time.Second), 1).State)
+}
