--- a/crashguard/run.go
+++ b/crashguard/run.go
@@ -32,8 +32,8 @@
 func (r *Run) OnTrial() bool { return r.mode == onTrial }
 
 // GiveUp records that the run is no longer awaited and may go on at the target until the
-// given time at the latest. A trial lasts as long, beyond End: another copy of the request
-// would otherwise run beside it.
+// given time at the latest. A trial then lasts until that time, also beyond End, so that no
+// other copy of the request runs beside it.
 func (r *Run) GiveUp(until time.Time) { r.until = until }
 
 // End ends the run; completed reports that the target has responded.
--- a/mesh/crash_guard.go
+++ b/mesh/crash_guard.go
@@ -16,7 +16,7 @@
 	// trialWait limits how long a suspect waits for the runs of other suspects.
 	trialWait = time.Second
 	// trialLinger is how long a run on trial goes on after its caller has left. The
-	// platform counts work that lasts half a second longer than that.
+	// platform's rules are about work that goes on for half a second and more.
 	trialLinger = 400 * time.Millisecond
 	// completionWindow exceeds the interval between requests of a kind that the
 	// deployment serves all the time.
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -85,8 +85,7 @@
 // classify finds the route of a request and, for a sub-call, its parent.
 func (n *Node) classify(r *message.Request) (*request, *kind.Error) {
 	q := &request{call: &message.Call{Request: *r, CallerService: n.target.service()}}
-	// The caller of a sub-call is known once its parent is; a request that is refused
-	// before has a fingerprint too.
+	// Also requests that are refused below are logged with a fingerprint.
 	q.call.Fingerprint = fingerprintOf(q.call)
 	table := n.configuration.current()
 	if table == nil {
