--- a/node/entry.go
+++ b/node/entry.go
@@ -118,9 +118,6 @@
 	}
 	q.chainID, q.importance, q.depth = parent.ID, parent.Importance, parent.Depth+1
 	q.services = append(slices.Clone(parent.Path), q.name.String())
-	if len(parent.Path) > 0 {
-		q.fingerprint = q.computeFingerprint(parent.Path[len(parent.Path)-1])
-	}
 	if parent.Deadline.Before(q.deadline) {
 		q.deadline = parent.Deadline
 	}
--- a/node/forward.go
+++ b/node/forward.go
@@ -105,10 +105,10 @@
 	case quarantine.Quarantined:
 		return "", "", kind.New(kind.Quarantined, "the request has crashed targets")
 	case quarantine.Suspect:
-		input.Designated = uint64(quarantine.Fingerprint(q.fingerprint).Content())
+		input.Designated = q.fingerprint
 	default:
 		if f.crashes > 0 {
-			input.Designated = uint64(quarantine.Fingerprint(q.fingerprint).Content())
+			input.Designated = q.fingerprint
 		}
 	}
 	id, address, failure := n.router.Pick(now, q.name.String(), input)
--- a/node/request.go
+++ b/node/request.go
@@ -12,7 +12,6 @@
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/peerrpc"
 	"github.com/goldcrestsail/goldcrestsail/policy"
-	"github.com/goldcrestsail/goldcrestsail/quarantine"
 	"github.com/goldcrestsail/goldcrestsail/routing"
 )
 
@@ -100,7 +99,7 @@
 		return failure
 	}
 	q.headers = copyHeaders(r.Header, skippedRequestHeaders)
-	q.fingerprint = q.computeFingerprint("")
+	q.fingerprint = q.computeFingerprint()
 	return nil
 }
 
@@ -143,17 +142,16 @@
 	return nil
 }
 
-// computeFingerprint returns a hash of service, method, path and body, and one of the
-// caller: the service that makes a sub-call, empty for a client. The key is left out, so
-// that a repeat with a new key has the same fingerprint.
-func (q *request) computeFingerprint(caller string) uint64 {
+// computeFingerprint returns a hash of service, method, path and body. The key is
+// left out, so that a repeat with a new key has the same fingerprint.
+func (q *request) computeFingerprint() uint64 {
 	d := xxhash.New()
 	for _, part := range []string{q.name.Customer, q.name.Service, q.method, q.path} {
 		d.WriteString(part)
 		d.Write([]byte{0})
 	}
 	d.Write(q.body)
-	return uint64(quarantine.NewFingerprint(caller, d.Sum64()))
+	return d.Sum64()
 }
 
 func copyHeaders(from http.Header, skip map[string]bool) []*peerrpc.Header {
