--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -22,12 +22,6 @@
 // Content returns the part of f that is the same for all callers.
 func (f Fingerprint) Content() Fingerprint { return f & (1<<contentBits - 1) }
 
-// NewFingerprint returns the fingerprint of a request with a hash of its content. caller
-// is the service that sends it.
-func NewFingerprint(caller string, content uint64) Fingerprint {
-	return Fingerprint(xxhash.Sum64String(caller)<<contentBits) | Fingerprint(content).Content()
-}
-
 // FingerprintOf returns the fingerprint of a request that the service caller sends.
 func FingerprintOf(caller, method, host, uri string, body []byte) Fingerprint {
 	hash := xxhash.New()
@@ -36,5 +30,5 @@
 		_, _ = hash.Write([]byte{0})
 	}
 	_, _ = hash.Write(body)
-	return NewFingerprint(caller, hash.Sum64())
+	return Fingerprint(xxhash.Sum64String(caller)<<contentBits) | Fingerprint(hash.Sum64()).Content()
 }
