Count the requests of a split by part, version and outcome

Nothing said to which part of a split a request went: one answered request in 100 is logged, and the version in the lines about a request was the one in force at its end, not the one that had decided.

Change: the counter goldcrestsail_split_requests_total by route, service and outcome (passed on, refused), a line `requests of a split` every 5 s by part and version, and config_version of a request is the version that it was classified under. The counters hold parts of the configuration in force only.

--- a/mesh/apply_config.go
+++ b/mesh/apply_config.go
@@ -17,6 +17,7 @@
 	}
 	if applied {
 		n.log.Info("configuration in force", "version", c.Version, "source", source, "routes", len(c.Routes), "services", len(c.Services))
+		n.splits.retain(c)
 		n.gossip.SetConfigOffset(c.Version)
 		for _, s := range c.Services {
 			n.metrics.registerBudgetGauges(n, s.Name)
--- a/mesh/events.go
+++ b/mesh/events.go
@@ -53,7 +53,7 @@
 	}
 	fields := []any{"request_id", r.ID, "parent_id", parent, "route", route, "service", q.call.Service, "root", q.root, "caller", q.call.CallerService, "fingerprint", q.call.Fingerprint.String(),
 		"importance", q.call.Importance, "chain_level", q.call.ChainLevel, "unsafe", q.call.Unsafe, "attempts", q.attempts,
-		"config_version", n.configuration.version(), "config_age_ms", n.configuration.age(now).Milliseconds(),
+		"config_version", q.version, "config_age_ms", n.configuration.age(now).Milliseconds(),
 		"took_ms", now.Sub(r.Arrived).Milliseconds(), "left_ms", r.Deadline.Sub(now).Milliseconds()}
 	switch {
 	case failure != nil:
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -36,6 +36,7 @@
 		targetTime:     set.NewHistogram("goldcrestsail_target_seconds"),
 		queueTime:      set.NewHistogram("goldcrestsail_queue_seconds"),
 	}
+	set.RegisterMetricsWriter(n.splits.writeMetrics)
 	gauge := func(name string, value func() float64) { set.NewGauge("goldcrestsail_"+name, value) }
 	gauge("config_version", func() float64 { return float64(n.configuration.version()) })
 	gauge("config_age_seconds", func() float64 { return n.configuration.age(time.Now()).Seconds() })
--- a/mesh/metrics_test.go
+++ b/mesh/metrics_test.go
@@ -24,6 +24,7 @@
 	q := &request{route: &routetable.Route{Name: "r"}, call: &message.Call{}}
 	n.metrics.recordRequest(q, 503, kind.New(kind.Shed, ""), time.Second)
 	n.metrics.registerBudgetGauges(n, "s")
+	n.splits.record(&routetable.Route{Name: "r", Clusters: []routetable.Cluster{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}, "a", 1, true)
 	for _, h := range []interface{ Update(float64) }{n.metrics.attemptTime, n.metrics.targetTime, n.metrics.queueTime} {
 		h.Update(1)
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -78,6 +78,7 @@
 	directory     *directory.Directory
 	peers         *peerlink.Pool
 	budgets       *budgets
+	splits        *splitCounts
 	// bodyMemory bounds the bodies that the process holds.
 	bodyMemory *bytebudget.Budget
 	chains     struct {
@@ -153,6 +154,7 @@
 		configuration: newConfiguration(), target: newTarget(config.Service, config.ReportInterval, config.Records != nil), gate: gate.New(time.Now()),
 		gossipStarted: make(chan struct{}), lineLimiter: nodelog.NewLimiter(requestLinesPerSecond),
 		bodyMemory: bodyMemory, inFlight: newInFlight(), peers: peerlink.NewPool(bodyMemory), budgets: newBudgets(config.Budget),
+		splits: newSplitCounts(),
 	}
 	n.client = httpconn.NewTarget(httpconn.TargetConfig{Names: config.Headers, Address: config.TargetAddress, BodyMemory: bodyMemory})
 	n.directory = directory.New(routing.Options{
@@ -268,6 +270,7 @@
 			n.updateAppliedCutoff(now)
 			n.logLoad(now)
 			n.logRetryBudgets(now)
+			n.logSplits(now)
 			n.logSuppressed(now)
 		}
 	}
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -30,6 +30,8 @@
 type request struct {
 	call  *message.Call
 	route *routetable.Route
+	// version is the version of the configuration that route belongs to.
+	version uint64
 	// parent is the request at the local target that made this sub-call; nil if
 	// it is not a sub-call.
 	parent *run
@@ -62,6 +64,9 @@
 	if q.parent != nil {
 		n.inFlight.endSubCall(now, q.parent, visitsOf(reply), failure != nil || reply.Response.Status >= http.StatusInternalServerError)
 	}
+	if q.route != nil {
+		n.splits.record(q.route, q.call.Service, q.version, passedOn(failure))
+	}
 	n.logRequest(q, r, reply, failure, now)
 	if failure != nil {
 		response := failureResponse(failure, r.Deadline.Sub(now), n.randomFraction())
@@ -75,6 +80,12 @@
 	return reply.Response
 }
 
+// passedOn reports whether a request that ended with a failure, or with none, has
+// reached a target or may have.
+func passedOn(failure *kind.Error) bool {
+	return failure == nil || failure.Run == kind.MayHaveRun || reachedTarget(failure)
+}
+
 func visitsOf(reply *message.Reply) []message.Visit {
 	if reply == nil {
 		return nil
@@ -94,7 +105,7 @@
 	if r.ID == "" {
 		return q, kind.New(kind.Malformed, "the request has no ID")
 	}
-	q.route = table.Match(r.Host, r.URI)
+	q.route, q.version = table.Match(r.Host, r.URI), table.Config().Version
 	if q.route == nil {
 		return q, kind.Newf(kind.UnknownService, "no route for host %q", r.Host)
 	}
--- a/routetable/route.go
+++ b/routetable/route.go
@@ -22,3 +22,19 @@
 	// Importance is the priority of the requests; 0 is the highest.
 	Importance int `json:"importance"`
 }
+
+// WeightShare returns the share of the requests that the weights give to a service,
+// from 0 to 1.
+func (r *Route) WeightShare(service string) float64 {
+	total, weight := 0.0, 0.0
+	for _, c := range r.Clusters {
+		total += c.Weight
+		if c.Service == service {
+			weight += c.Weight
+		}
+	}
+	if total <= 0 {
+		return 0
+	}
+	return weight / total
+}
