Learn what a chain costs by part of a split

A request for the part of a split that has room is refused for the cutoff of another part, so that the part with room gets less than its share.

Cause: the mean runs of a route were kept by route alone. At 75/25 the heavier part counts 0.75 runs for every request, which is above the 0.5 from which a cutoff applies; a repeat of a request also paid for 0.75 runs of the other part from its retry budget. After a route had moved, the runs at its old service counted for some 20 requests.

Change: runs are kept by where a chain starts, the route and the service chosen.

--- a/chainadmission/table.go
+++ b/chainadmission/table.go
@@ -12,22 +12,22 @@
 	// 100 ms; an outdated one would refuse requests after an overload has ended.
 	maxCutoffAge = time.Second
 	// minRunsPerRequest is the mean number of runs at a service, per request of a
-	// route, from which the service's cutoff applies to the route.
+	// start, from which the service's cutoff applies to the start.
 	minRunsPerRequest = 0.5
 	// minSampleWeight is the weight of a new chain in the moving average of runs.
-	// The first chains of a route weigh more: the n-th has weight 1/n until that
+	// The first chains of a start weigh more: the n-th has weight 1/n until that
 	// falls below minSampleWeight.
 	minSampleWeight = 0.05
-	// maxRoutes bounds the memory for learned routes. Deployments have a few
-	// hundred routes.
-	maxRoutes = 4096
+	// maxStarts bounds the memory for learned starts. Deployments have a few
+	// hundred routes, most of them with one service.
+	maxStarts = 4096
 )
 
-// Table holds the target cutoffs and the runs per route that are known to one
+// Table holds the target cutoffs and the runs per start that are known to one
 // node. It is not safe for concurrent use.
 type Table struct {
 	services map[string]map[string]cutoffReport
-	routes   map[string]*routeStats
+	starts   map[Start]*startStats
 }
 
 // cutoffReport is the cutoff of one target as of a time.
@@ -36,8 +36,8 @@
 	at     time.Time
 }
 
-// routeStats holds the mean runs that a request of one route causes.
-type routeStats struct {
+// startStats holds the mean runs that a request of one start causes.
+type startStats struct {
 	samples int
 	// meanRuns is the mean number of runs per request, by service.
 	meanRuns map[string]float64
@@ -45,7 +45,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{services: map[string]map[string]cutoffReport{}, routes: map[string]*routeStats{}}
+	return &Table{services: map[string]map[string]cutoffReport{}, starts: map[Start]*startStats{}}
 }
 
 // Observe records the cutoff of a target as of the time at. A cutoff older than
@@ -83,9 +83,9 @@
 	return pressure.Cutoff(sum / float64(n)), age
 }
 
-// Learn records the runs that one completed chain of a route caused, by service.
-func (t *Table) Learn(route string, runs map[string]float64) {
-	c := t.routeStats(route)
+// Learn records the runs that one completed chain of a start caused, by service.
+func (t *Table) Learn(start Start, runs map[string]float64) {
+	c := t.startStats(start)
 	if c == nil {
 		return
 	}
@@ -101,35 +101,35 @@
 	}
 }
 
-// routeStats returns the statistics of a route. It creates them if needed, and
-// returns nil if maxRoutes routes are known already.
-func (t *Table) routeStats(route string) *routeStats {
-	c := t.routes[route]
-	if c == nil && len(t.routes) < maxRoutes {
-		c = &routeStats{meanRuns: map[string]float64{}}
-		t.routes[route] = c
+// startStats returns the statistics of a start. It creates them if needed, and
+// returns nil if maxStarts starts are known already.
+func (t *Table) startStats(start Start) *startStats {
+	c := t.starts[start]
+	if c == nil && len(t.starts) < maxStarts {
+		c = &startStats{meanRuns: map[string]float64{}}
+		t.starts[start] = c
 	}
 	return c
 }
 
-// Runs returns the mean number of runs that a request of a route causes, by
+// Runs returns the mean number of runs that a request of a start causes, by
 // service. The caller must not modify the map.
-func (t *Table) Runs(route string) map[string]float64 {
-	if c := t.routes[route]; c != nil {
+func (t *Table) Runs(start Start) map[string]float64 {
+	if c := t.starts[start]; c != nil {
 		return c.meanRuns
 	}
 	return nil
 }
 
-// Check decides whether a request of a route to a service may start a chain. The
-// position must be admitted by the cutoff of the service and of each downstream
-// service with at least minRunsPerRequest runs.
-func (t *Table) Check(route, service string, position float64, now time.Time) Verdict {
-	if v := t.checkService(service, position, now); v.Refuse {
+// Check decides whether a request may start a chain. The position must be admitted by
+// the cutoff of the service of the start and of each downstream service with at least
+// minRunsPerRequest runs.
+func (t *Table) Check(start Start, position float64, now time.Time) Verdict {
+	if v := t.checkService(start.Service, position, now); v.Refuse {
 		return v
 	}
-	for downstream, mean := range t.Runs(route) {
-		if downstream == service || mean < minRunsPerRequest {
+	for downstream, mean := range t.Runs(start) {
+		if downstream == start.Service || mean < minRunsPerRequest {
 			continue
 		}
 		if v := t.checkService(downstream, position, now); v.Refuse {
@@ -157,11 +157,15 @@
 	return all
 }
 
-// AllRuns returns a copy of the mean number of runs, by route and service.
-func (t *Table) AllRuns() map[string]map[string]float64 {
-	all := make(map[string]map[string]float64, len(t.routes))
-	for route, c := range t.routes {
-		all[route] = maps.Clone(c.meanRuns)
+// AllRuns returns a copy of the mean number of runs, by route, service of the start and
+// service of the runs.
+func (t *Table) AllRuns() map[string]map[string]map[string]float64 {
+	all := map[string]map[string]map[string]float64{}
+	for start, c := range t.starts {
+		if all[start.Route] == nil {
+			all[start.Route] = map[string]map[string]float64{}
+		}
+		all[start.Route][start.Service] = maps.Clone(c.meanRuns)
 	}
 	return all
 }
--- a/chainadmission/table_test.go
+++ b/chainadmission/table_test.go
@@ -15,16 +15,16 @@
 	now := time.Unix(100, 0)
 	table := NewTable()
 	for range 100 {
-		table.Learn("browse", map[string]float64{"shop": 1, "stock": 4})
-		table.Learn("schedule", map[string]float64{"plan": 1})
+		table.Learn(Start{"browse", "shop"}, map[string]float64{"shop": 1, "stock": 4})
+		table.Learn(Start{"schedule", "plan"}, map[string]float64{"plan": 1})
 	}
-	table.Learn("rare", map[string]float64{"shop": 1})
+	table.Learn(Start{"rare", "shop"}, map[string]float64{"shop": 1})
 	for range 100 {
-		table.Learn("rare", map[string]float64{"shop": 1, "stock": 0.2})
+		table.Learn(Start{"rare", "shop"}, map[string]float64{"shop": 1, "stock": 0.2})
 	}
 	table.Observe("stock", "t1", 2.5, now)
 	table.Observe("stock", "t2", 1.5, now)
-	require.InDelta(t, 4, table.Runs("browse")["stock"], 1e-9)
+	require.InDelta(t, 4, table.Runs(Start{"browse", "shop"})["stock"], 1e-9)
 	for _, c := range []struct {
 		route, service string
 		position       float64
@@ -33,7 +33,7 @@
 		{"browse", "shop", 1.9, false}, {"browse", "shop", 2.1, true}, {"schedule", "plan", 9, false}, {"rare", "shop", 9, false},
 		{"unknown", "shop", 9, false}, {"unknown", "stock", 9, true}, {"browse", "stock", 2.1, true},
 	} {
-		v := table.Check(c.route, c.service, c.position, now)
+		v := table.Check(Start{c.route, c.service}, c.position, now)
 		require.Equal(t, c.refuse, v.Refuse, "%+v", c)
 		if v.Refuse {
 			require.Equal(t, "stock", v.Service)
--- a/mesh/repeat.go
+++ b/mesh/repeat.go
@@ -110,7 +110,7 @@
 // budget allows it.
 func (f *forwarding) spendRetry() bool {
 	q := f.request
-	allowed := f.node.budgets.trySpend(time.Now(), f.node.expectedRuns(q.route, q.call.Service), int(q.call.Importance))
+	allowed := f.node.budgets.trySpend(time.Now(), f.node.expectedRuns(q.chainStart()), int(q.call.Importance))
 	if allowed {
 		f.node.metrics.retries.Inc()
 	} else {
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/goldcrestsail/goldcrestsail/admission"
+	"github.com/goldcrestsail/goldcrestsail/chainadmission"
 	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/message"
 	"github.com/goldcrestsail/goldcrestsail/policy"
@@ -75,7 +76,7 @@
 	}
 	n.metrics.recordRequest(q, reply.Response.Status, nil, now.Sub(r.Arrived))
 	if reply.Response.Status < http.StatusInternalServerError {
-		n.recordVisits(q.route, reply.Visited)
+		n.recordVisits(q.chainStart(), reply.Visited)
 	}
 	return reply.Response
 }
@@ -156,7 +157,7 @@
 	now := time.Now()
 	position := chainPosition(q.call)
 	n.chains.mu.Lock()
-	verdict := n.chains.table.Check(q.route.Name, q.call.Service, position, now)
+	verdict := n.chains.table.Check(q.chainStart(), position, now)
 	n.chains.mu.Unlock()
 	if verdict.Refuse {
 		n.metrics.shedEarly.Inc()
@@ -171,26 +172,31 @@
 	return pressure.Position(int(call.Importance), float64(call.ChainLevel)/admission.ChainLevels)
 }
 
-func (n *Node) recordVisits(route *routetable.Route, visited []message.Visit) {
+// chainStart returns where the chain of a request starts.
+func (q *request) chainStart() chainadmission.Start {
+	return chainadmission.Start{Route: q.route.Name, Service: q.call.Service}
+}
+
+func (n *Node) recordVisits(start chainadmission.Start, visited []message.Visit) {
 	runs := make(map[string]float64, len(visited))
 	for _, v := range visited {
 		runs[v.Service] += float64(v.Runs)
 	}
 	n.chains.mu.Lock()
 	defer n.chains.mu.Unlock()
-	n.chains.table.Learn(route.Name, runs)
+	n.chains.table.Learn(start, runs)
 }
 
-// expectedRuns returns how often a request of a route runs at each service on
+// expectedRuns returns how often a request of a start runs at each service on
 // average.
-func (n *Node) expectedRuns(route *routetable.Route, service string) map[string]float64 {
+func (n *Node) expectedRuns(start chainadmission.Start) map[string]float64 {
 	n.chains.mu.Lock()
 	defer n.chains.mu.Unlock()
-	runs := maps.Clone(n.chains.table.Runs(route.Name))
+	runs := maps.Clone(n.chains.table.Runs(start))
 	if runs == nil {
 		runs = map[string]float64{}
 	}
-	runs[service] = max(runs[service], 1)
+	runs[start.Service] = max(runs[start.Service], 1)
 	return runs
 }
 
