Forget the chains of routes that are not in force any more

Runs are kept for 4,096 starts of chains at most and were never dropped.

Change: what is not in force any more is dropped with each version.

Evidence: TestRoutesOfManyVersionsDoNotFillTable fails without it (nothing learned from version 4096 on).

--- a/chainadmission/table.go
+++ b/chainadmission/table.go
@@ -101,6 +101,12 @@
 	}
 }
 
+// Retain drops the runs of all starts for which inForce is false. It is called when the
+// routes change: otherwise the starts of a day would fill the table.
+func (t *Table) Retain(inForce func(Start) bool) {
+	maps.DeleteFunc(t.starts, func(s Start, _ *startStats) bool { return !inForce(s) })
+}
+
 // startStats returns the statistics of a start. It creates them if needed, and
 // returns nil if maxStarts starts are known already.
 func (t *Table) startStats(start Start) *startStats {
--- a/chainadmission/table_test.go
+++ b/chainadmission/table_test.go
@@ -1,6 +1,7 @@
 package chainadmission
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -54,3 +55,15 @@
 	cutoff, _ = table.Cutoff("stock", now.Add(maxCutoffAge+time.Millisecond))
 	require.Equal(t, pressure.AdmitAll, cutoff)
 }
+
+// Guards against a table that is filled by the routes of many versions, and learns nothing
+// of those in force.
+func TestRoutesOfManyVersionsDoNotFillTable(t *testing.T) {
+	table := NewTable()
+	for version := range 2 * maxStarts {
+		start := Start{fmt.Sprintf("route-%d", version), "shop"}
+		table.Retain(func(s Start) bool { return s == start })
+		table.Learn(start, map[string]float64{"shop": 1, "stock": 4})
+		require.NotNil(t, table.Runs(start), "version %d", version)
+	}
+}
--- a/mesh/apply_config.go
+++ b/mesh/apply_config.go
@@ -1,6 +1,9 @@
 package mesh
 
-import "github.com/goldcrestsail/goldcrestsail/routetable"
+import (
+	"github.com/goldcrestsail/goldcrestsail/chainadmission"
+	"github.com/goldcrestsail/goldcrestsail/routetable"
+)
 
 // ConfigVersion returns the version of the current routes, or 0 if there are
 // none.
@@ -18,6 +21,7 @@
 	if applied {
 		n.log.Info("configuration in force", "version", c.Version, "source", source, "routes", len(c.Routes), "services", len(c.Services))
 		n.splits.retain(c)
+		n.retainChains(c)
 		n.gossip.SetConfigOffset(c.Version)
 		for _, s := range c.Services {
 			n.metrics.registerBudgetGauges(n, s.Name)
@@ -32,3 +36,16 @@
 	t := n.configuration.current()
 	return t != nil && t.Service(name) != nil
 }
+
+// retainChains drops what is known of chains that cannot start any more.
+func (n *Node) retainChains(c *routetable.Config) {
+	starts := map[chainadmission.Start]bool{}
+	for i := range c.Routes {
+		for _, cluster := range c.Routes[i].Clusters {
+			starts[chainadmission.Start{Route: c.Routes[i].Name, Service: cluster.Service}] = true
+		}
+	}
+	n.chains.mu.Lock()
+	defer n.chains.mu.Unlock()
+	n.chains.table.Retain(func(s chainadmission.Start) bool { return starts[s] })
+}
