Drop the connection of a malformed response at once

It comes back: 16 of 240 runs of the test alone, four processes at once under the race detector.

Cause: net/http keeps a connection as idle when it has read the last byte of the body, before the trailer is checked, and also for a malformed head without a body. The next request went out on that connection, which the target had closed behind its bytes.

Change: the connection of a malformed response is closed, and the idle ones with it, so that it is not handed out before its end is noticed. Closing it alone left 6 of 240.

Evidence: TestConnectionIsClosedAfterMalformedResponse fails before (the connection of the response with the trailer stays open); 0 of 480 runs of the test of package node since. Who it concerns: package node, health checks, the stores' clients. The target connections of package mesh close already.

--- a/internal/httphead/transport.go
+++ b/internal/httphead/transport.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -13,7 +14,8 @@
 const maxInterimResponses = 8
 
 // Transport is a round tripper that fails a request whose response has a malformed head or
-// trailer. Errors of RoundTrip and of reading the body have class ErrMalformed then.
+// trailer, and closes its connection. Errors of RoundTrip and of reading the body have
+// class ErrMalformed then.
 type Transport struct {
 	Base http.RoundTripper
 }
@@ -21,24 +23,41 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	interim := 0
-	trace := &httptrace.ClientTrace{Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error {
-		if interim++; interim > maxInterimResponses {
-			return malformed("more than %d interim responses", maxInterimResponses)
-		}
-		return CheckFields(http.Header(fields))
-	}}
+	var conn net.Conn
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+		Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error {
+			if interim++; interim > maxInterimResponses {
+				return malformed("more than %d interim responses", maxInterimResponses)
+			}
+			return CheckFields(http.Header(fields))
+		},
+	}
 	response, err := t.Base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
 	if err := CheckResponse(response); err != nil {
+		t.drop(conn, response)
 		_ = response.Body.Close()
 		return nil, err
 	}
-	response.Body = &checkedBody{response.Body, response}
+	response.Body = &checkedBody{response.Body, response, func() { t.drop(conn, response) }}
 	return response, nil
 }
 
+// drop drops the connection of a malformed response. Base may hold it as idle already: it
+// does so when it has read the last byte of the body, before the trailer is checked. To
+// close it does not take it out of Base at once, so that the idle connections are closed
+// too. A connection of HTTP/2 carries other requests and stays.
+func (t *Transport) drop(conn net.Conn, response *http.Response) {
+	if conn == nil || response.ProtoMajor != 1 {
+		return
+	}
+	t.CloseIdleConnections()
+	_ = conn.Close()
+}
+
 // CloseIdleConnections closes the idle connections of Base.
 func (t *Transport) CloseIdleConnections() {
 	if c, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
@@ -50,6 +69,8 @@
 type checkedBody struct {
 	io.ReadCloser
 	response *http.Response
+	// drop drops the connection of the response.
+	drop func()
 }
 
 // Read implements io.Reader.
@@ -57,6 +78,7 @@
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		if malformed := CheckFields(b.response.Trailer); malformed != nil {
+			b.drop()
 			err = malformed
 		}
 	}
