--- a/mesh/configuration.go
+++ b/mesh/configuration.go
@@ -76,21 +76,6 @@
 	return true, nil
 }
 
-// weightShare returns the share of a service among the requests of a route by the
-// weights in force, or 0 if the route is not in force.
-func (c *configuration) weightShare(route, service string) float64 {
-	table := c.current()
-	if table == nil {
-		return 0
-	}
-	for i := range table.Config().Routes {
-		if r := &table.Config().Routes[i]; r.Name == route {
-			return r.WeightShare(service)
-		}
-	}
-	return 0
-}
-
 // nextService returns the service for the next request of a route.
 func (c *configuration) nextService(r *routetable.Route) string {
 	c.mu.Lock()
--- a/mesh/split_counts.go
+++ b/mesh/split_counts.go
@@ -26,6 +26,8 @@
 type versionedPart struct {
 	splitPart
 	version uint64
+	// weightShare is the share of the part by the weights of that version.
+	weightShare float64
 }
 
 // splitOutcome counts the requests of one part.
@@ -69,7 +71,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.total[part] = c.total[part].plus(passedOn)
-	key := versionedPart{part, version}
+	key := versionedPart{part, version, route.WeightShare(service)}
 	if o, ok := c.unlogged[key]; ok || len(c.unlogged) < maxSplitLines {
 		c.unlogged[key] = o.plus(passedOn)
 	}
@@ -120,6 +122,6 @@
 func (n *Node) logSplits(now time.Time) {
 	for part, o := range n.splits.takeUnlogged(now) {
 		n.log.Info("requests of a split", "route", part.route, "service", part.service, "config_version", part.version,
-			"weight_share", n.configuration.weightShare(part.route, part.service), "passed_on", o.passedOn, "refused", o.refused)
+			"weight_share", part.weightShare, "passed_on", o.passedOn, "refused", o.refused)
 	}
 }
--- a/mesh/split_counts_test.go
+++ b/mesh/split_counts_test.go
@@ -27,7 +27,7 @@
 	c.record(&single, "a", 2, true)
 	now := time.Now()
 	require.Equal(t, map[versionedPart]splitOutcome{
-		{splitPart{"r", "a"}, 1}: {passedOn: 1}, {splitPart{"r", "a"}, 2}: {passedOn: 1}, {splitPart{"r", "b"}, 2}: {passedOn: 1, refused: 1},
+		{splitPart{"r", "a"}, 1, 0.75}: {passedOn: 1}, {splitPart{"r", "a"}, 2, 0.75}: {passedOn: 1}, {splitPart{"r", "b"}, 2, 0.25}: {passedOn: 1, refused: 1},
 	}, c.takeUnlogged(now))
 	c.record(&split, "a", 2, true)
 	require.Nil(t, c.takeUnlogged(now.Add(splitLogInterval-1)))
