Count the end of a target that writes bytes which are no answer

Cause: only a run without any answer was looked at. One that ended with bytes which are no answer (no seal, a status that is none) or with one above the size limit was not among those that may have ended the target, neither for the dial that tells the end nor for the report of the next process. The class: an event is recognised by one of its forms.

Change: every run that the target got and did not answer is one that may have ended it. As before it is dropped once the target completes a run that began later. The line about a target that goes on is limited, since a faulty target may cause many.

Evidence: TestCrashingRequestStopsReachingTargets, the cases unsealed answer, status that is none, answer above the limit: 32, 32 and 26 runs, 5, 4 and 4 of them late before (3 allowed), 4 to 6 runs and none late now.

Not covered: a target that writes a whole answer with its seal and ends at once; how many innocent requests wait or are refused beside it was not measured.

--- a/mesh/target_end.go
+++ b/mesh/target_end.go
@@ -99,7 +99,7 @@
 	case failure == nil:
 	case failure.Kind == kind.DialFailed:
 		n.dialFailed()
-	case failure.Kind == kind.AnswerTruncated:
+	case brokenAnswer(failure):
 		if n.runBroke(call, run.OnTrial()) {
 			crashed := kind.Newf(kind.TargetCrashed, "the target ended while it ran the request: %s", failure.Detail)
 			return crashed, n.ends.reportOf(call.Fingerprint)
@@ -110,8 +110,18 @@
 	return failure, nil
 }
 
-// runBroke records that the connection on which the target ran a call ended before
-// its response was complete, and reports whether the process of the target has ended.
+// brokenAnswer reports whether a target that got a request failed to answer it: with
+// nothing, with a part of an answer, or with bytes that are none, as some write when they
+// end.
+func brokenAnswer(failure *kind.Error) bool {
+	switch failure.Kind {
+	case kind.AnswerTruncated, kind.AnswerMismatched, kind.AnswerTooLarge:
+		return failure.Run != kind.NotRun
+	}
+	return false
+}
+
+// runBroke records that the target did not answer a call that it ran, and reports whether the process of the target has ended.
 // If it has, nothing listens at its address. Otherwise only the connection or the
 // response was lost, or the next process has started already; its report tells.
 func (n *Node) runBroke(call *message.Call, onTrial bool) bool {
@@ -160,7 +170,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), endProbeTimeout)
 	defer cancel()
 	if err := n.client.Probe(ctx); !errors.Is(err, syscall.ECONNREFUSED) {
-		n.log.Info("target's process not known to have ended", "broken_runs", n.ends.count(), "dial_error", err)
+		n.logLimited("target's process not known to have ended", "broken_runs", n.ends.count(), "dial_error", err)
 		return false
 	}
 	report := n.target.report(time.Now())
