Keep the crashes that point to few requests in the nodes' records

Cause: only crashes on trial were in the store. The first crashes of a request are none: several copies at once each crash a target before any trial. The class: state that is needed after a start of all nodes was in their memory only.

A crasher at such a target whose only crash this was is still unknown after a start of all nodes: one of dozens would be held for all of them.

--- a/mesh/lost_peers.go
+++ b/mesh/lost_peers.go
@@ -79,7 +79,7 @@
 		for _, c := range calls {
 			if reported {
 				for _, entry := range n.crashes.ReportLost(c.fingerprint, c.knownCrashes) {
-					n.recordTrialReport(entry)
+					n.recordCrashReport(entry, false)
 				}
 			}
 			requests = append(requests, c.requestID+" "+c.fingerprint.String())
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -72,7 +72,7 @@
 	ends          targetEnds
 	crashes       *crashguard.Guard
 	lostPeers     lostPeers
-	trialReports  trialReports
+	crashReports  crashReports
 	notice        targetNotice
 	peerNotices   peerNotices
 	directory     *directory.Directory
--- a/mesh/record_writer.go
+++ b/mesh/record_writer.go
@@ -74,7 +74,7 @@
 	if !due {
 		return nil
 	}
-	r := Record{Instance: n.config.Name, Gossip: address, Departures: n.departures(), TrialReports: n.trialReports.encoded(time.Now())}
+	r := Record{Instance: n.config.Name, Gossip: address, Departures: n.departures(), CrashReports: n.crashReports.encoded(time.Now())}
 	if n.target.departuresAreKnown() {
 		r.Timeline = write.Timeline
 	}
@@ -91,7 +91,7 @@
 		return err
 	}
 	n.record.update(func(k *recordsync.Keeper) { k.Written(time.Now(), timeline) })
-	n.log.Info("node's record written", "revision", write.Revision, "timeline", timeline, "token", write.Token, "departures", len(r.Departures), "trial_reports", len(r.TrialReports))
+	n.log.Info("node's record written", "revision", write.Revision, "timeline", timeline, "token", write.Token, "departures", len(r.Departures), "trial_reports", len(r.CrashReports))
 	return nil
 }
 
--- a/mesh/records.go
+++ b/mesh/records.go
@@ -33,9 +33,9 @@
 	Gossip netip.AddrPort
 	// Departures are the departures that the node has acknowledged.
 	Departures []registration.Departure
-	// TrialReports are the encoded quarantine.Entry values about crashes on trial that
+	// CrashReports are the encoded quarantine.Entry values about crashes that
 	// this node has reported.
-	TrialReports [][]byte
+	CrashReports [][]byte
 	// Timeline is the timeline of the store in which the departures were known to be
 	// complete, or 0 if they may not be.
 	Timeline uint64
--- a/mesh/recovery.go
+++ b/mesh/recovery.go
@@ -115,7 +115,7 @@
 	n.gossip.AddSeeds(restored.seeds)
 	var own Record
 	for _, r := range records {
-		n.restoreTrialReports(r)
+		n.restoreCrashReports(r)
 		if r.Instance == n.config.Name {
 			own = r
 			n.target.addDepartures(r.Departures...)
@@ -129,7 +129,7 @@
 			"record_timeline", own.Timeline, "departures", len(own.Departures))
 	}
 	if restored.complete && own.Gossip.String() == n.config.GossipAddress && slices.Equal(own.Departures, n.departures()) &&
-		equalReports(own.TrialReports, n.trialReports.encoded(time.Now())) {
+		equalReports(own.CrashReports, n.crashReports.encoded(time.Now())) {
 		// A departure since the revision was read is not in the listed record.
 		n.record.update(func(k *recordsync.Keeper) {
 			k.Confirm(time.Now(), recordsync.Version{Revision: revision, Timeline: timeline})
--- a/mesh/target_end.go
+++ b/mesh/target_end.go
@@ -224,7 +224,7 @@
 	for _, e := range entries {
 		suspects += len(e.Crashed)
 		onTrial = onTrial || e.OnTrial
-		n.recordTrialReport(e)
+		n.recordCrashReport(e, len(runs) <= maxBlamed)
 		n.logQuarantined(e, "own target")
 	}
 	var requests []string
