Read requests by the grammar of RFC 9112

Cause: heads and chunked bodies of requests were read by net/http, which leaves the check of names to its caller, drops a length beside a coding, joins folded lines, and accepts two equal lengths, identity as a coding and chunk lines with a bare CR in an extension. Responses have been checked since; requests were not.

Change: the head is read in whole and checked before net/http parses it; bodies are read by their one framing. What another recipient could read differently gets 400 and ends the connection: names that are no tokens, control bytes, a bare CR, folding, more than one length or host, none in version 1.1, a length beside a coding, codings but chunked, chunk sizes and trailers beside the grammar. What it got before: no answer, or the request ran. A line of a head may still end with LF alone.

Calls a second through a whole node were not measured.

--- a/httpconn/server_conn.go
+++ b/httpconn/server_conn.go
@@ -30,6 +30,9 @@
 	writeTimeout = 15 * time.Second
 	// readBufferBytes is large enough for most requests.
 	readBufferBytes = 4 << 10
+	// headBufferBytes is the size of the buffer through which a head is parsed that has
+	// been read.
+	headBufferBytes = 512
 	// lingerTimeout is how long the server reads on after it has closed its
 	// sending side, so that bytes in transit do not reset the connection before
 	// the caller has read the last response.
@@ -48,8 +51,11 @@
 	nc            net.Conn
 	limitedReader *io.LimitedReader
 	br            *bufio.Reader
-	ctx           context.Context
-	cancel        context.CancelFunc
+	// head holds the head of the request that is read, headReader parses it.
+	head       []byte
+	headReader *bufio.Reader
+	ctx        context.Context
+	cancel     context.CancelFunc
 	// queue holds the exchanges in progress in request order.
 	queue    chan *exchange
 	inFlight atomic.Int32
@@ -67,6 +73,7 @@
 func newServerConn(s *Server, nc net.Conn) *serverConn {
 	c := &serverConn{server: s, nc: nc, limitedReader: &io.LimitedReader{R: nc}, queue: make(chan *exchange, maxPipelinedRequests)}
 	c.br = bufio.NewReaderSize(c.limitedReader, readBufferBytes)
+	c.headReader = bufio.NewReaderSize(nil, headBufferBytes)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
