Judge requests on kept connections by the limits in force

Cause: the limits were read before the wait for the next request, which lasts as long as the connection is idle. The class: what is read before a wait and used after it.

Change: they are read when the first byte of a request has arrived; the idle timeout in force when it ends decides whether the connection is closed. A timeout that becomes shorter closes a connection that is idle already no sooner than before. Of what else a connection holds: names of headers and the memory for bodies are the process's, not a version's; the number of connections to a target is not used by the product.

--- a/httpconn/server_conn.go
+++ b/httpconn/server_conn.go
@@ -104,13 +104,15 @@
 // the connection has ended, and false after the last request to be read from it.
 func (c *serverConn) readRequests() (ended bool) {
 	for {
-		limits := c.server.Limits()
-		c.limitedReader.N = int64(orDefault(limits.HeaderBytes, defaultHeaderBytes) + readBufferBytes)
-		idle := orDefault(limits.IdleTimeout, defaultIdleTimeout)
-		if !c.awaitRequest(idle) {
+		c.limitedReader.N = readBufferBytes
+		if !c.awaitRequest() {
 			c.cancel()
 			return true
 		}
+		// A connection may have been idle for longer than the configuration has been in
+		// force under which it was opened.
+		limits := c.server.Limits()
+		c.limitedReader.N = int64(orDefault(limits.HeaderBytes, defaultHeaderBytes) + readBufferBytes - c.br.Buffered())
 		_ = c.nc.SetReadDeadline(time.Now().Add(orDefault(limits.HeaderTimeout, defaultHeaderTimeout)))
 		request, status, err := c.readRequest(orDefault(limits.BodyBytes, defaultBodyBytes))
 		x := &exchange{done: make(chan struct{})}
@@ -148,13 +150,16 @@
 }
 
 // awaitRequest waits for the first byte of the next request and reports whether it
-// arrived. The idle timeout applies only while no request is in progress.
-func (c *serverConn) awaitRequest(idle time.Duration) bool {
+// arrived. The idle timeout in force when it ends applies, and only while no request is in
+// progress.
+func (c *serverConn) awaitRequest() bool {
+	idleSince := time.Now()
 	for {
 		if c.br.Buffered() > 0 {
 			return true
 		}
-		if !c.beginAwait(idle) {
+		idle := orDefault(c.server.Limits().IdleTimeout, defaultIdleTimeout)
+		if !c.beginAwait(idleSince.Add(idle)) {
 			return false
 		}
 		_, err := c.br.Peek(1)
@@ -163,22 +168,25 @@
 			return true
 		}
 		var netErr net.Error
-		if !errors.As(err, &netErr) || !netErr.Timeout() || c.inFlight.Load() == 0 {
+		if !errors.As(err, &netErr) || !netErr.Timeout() {
 			return false
 		}
+		if c.inFlight.Load() > 0 {
+			idleSince = time.Now()
+		}
 	}
 }
 
 // beginAwait sets the read deadline for the first byte of a request. It returns false
 // if the connection is idle and has to be closed.
-func (c *serverConn) beginAwait(idle time.Duration) bool {
+func (c *serverConn) beginAwait(until time.Time) bool {
 	c.idleMu.Lock()
 	defer c.idleMu.Unlock()
-	if c.closeWhenIdle && c.inFlight.Load() == 0 {
+	if c.inFlight.Load() == 0 && (c.closeWhenIdle || !time.Now().Before(until)) {
 		return false
 	}
 	c.awaiting = true
-	_ = c.nc.SetReadDeadline(time.Now().Add(idle))
+	_ = c.nc.SetReadDeadline(until)
 	return true
 }
 
