Let the readers of the configuration hear of the store in turn

Cause: a read that waits is not answered while nothing changes, and a change ends the reads of all nodes at the same moment. If the connections of all go silent then, without an end, no node asks the store anything for 11 s.

Change: when the reads of all begin together, each reader's first wait is a different one, in the order of the IDs, so that in each 1.2 s one of them hears of the store or runs into its time-out; what it learns travels by gossip as before.

--- a/mesh/follow_config.go
+++ b/mesh/follow_config.go
@@ -40,6 +40,18 @@
 	return followed
 }
 
+// StoreReadWait returns how long the store may hold the next read of the configuration.
+// inStep reports that other nodes may begin theirs at the same moment.
+func (n *Node) StoreReadWait(inStep bool) time.Duration {
+	domains := map[string][]configreaders.Peer{}
+	for _, m := range n.gossip.Members() {
+		if m.State.Present() {
+			domains[m.Meta.FailureDomain] = append(domains[m.Meta.FailureDomain], configreaders.Peer{ID: m.ID.String()})
+		}
+	}
+	return configreaders.ReadWait(configreaders.Peer{ID: n.id.String()}, domains, inStep)
+}
+
 // follow asks a reader once for a newer configuration.
 func (n *Node) follow(ctx context.Context, reader configreaders.Peer) {
 	watchCtx, cancel := context.WithTimeout(ctx, configreaders.WatchTimeout)
