Send no body behind the head of a response to HEAD

Cause: what writes a response knew neither the method of its request nor that some statuses have no body.

Change: no body behind a response to HEAD, 204 and 304 (RFC 9110, 9.3.2; RFC 9112, 6.3). A refusal of HEAD states the length that one of GET would have; what a target has answered to HEAD states none, in place of 0 before. Statuses and fields pass as before.

--- a/httpconn/append_response.go
+++ b/httpconn/append_response.go
@@ -23,7 +23,7 @@
 	if x.closeAfter {
 		b = appendField(b, "Connection", "close")
 	}
-	if r.Status != http.StatusNoContent && r.Status != http.StatusNotModified {
+	if x.statesLength() {
 		b = appendField(b, "Content-Length", strconv.Itoa(len(r.Body)))
 	}
 	return append(b, "\r\n"...)
--- a/httpconn/server_conn.go
+++ b/httpconn/server_conn.go
@@ -134,7 +134,7 @@
 			return false
 		}
 		_ = c.nc.SetReadDeadline(time.Time{})
-		x.requestID = request.id
+		x.requestID, x.head = request.id, request.message.Method == http.MethodHead
 		x.closeAfter = request.close || c.server.isDraining()
 		c.inFlight.Add(1)
 		c.queue <- x
@@ -253,7 +253,7 @@
 		}
 		head = appendResponse(head[:0], &c.server.Names, x)
 		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-		buffers := net.Buffers{head, x.response.Body}
+		buffers := net.Buffers{head, x.body()}
 		if _, err := buffers.WriteTo(c.nc); err != nil {
 			// The caller has disconnected or does not read.
 			failed = true
