--- a/mesh/ask_departures_test.go
+++ b/mesh/ask_departures_test.go
@@ -22,7 +22,7 @@
 			n.gossip.Broadcast(b)
 		}
 	}
-	asking := New(Config{Name: "n0", Service: "s", CallerAddress: "127.0.0.79:29640", PeerAddress: "127.0.0.79:29641", GossipAddress: "127.0.0.79:29642"})
+	asking := New(Config{Name: "n0", Service: "s", CallerAddress: testHost(79) + ":29640", PeerAddress: testHost(79) + ":29641", GossipAddress: testHost(79) + ":29642"})
 	require.NoError(t, asking.startGossip())
 	defer asking.gossip.Close()
 	defer asking.gate.Close()
--- a/mesh/crash_guard_test.go
+++ b/mesh/crash_guard_test.go
@@ -25,7 +25,7 @@
 // Guards against an answer to a request in quarantine that makes its caller come back
 // at once, or that says more than "not run".
 func TestQuarantinedRequestIsAnsweredAsNotRun(t *testing.T) {
-	n := startGossipOnly(t, "127.0.0.80")
+	n := startGossipOnly(t, testHost(80))
 	call := &message.Call{Request: message.Request{Method: "GET", Host: "h", URI: "/a"}}
 	call.Fingerprint = fingerprintOf(call)
 	for i := range uint64(2) {
--- a/mesh/crash_reports_test.go
+++ b/mesh/crash_reports_test.go
@@ -16,7 +16,7 @@
 func TestQuarantineOutlivesAllNodes(t *testing.T) {
 	records := &memoryRecords{timeline: firstTimeline}
 	start := func(name string) *Node {
-		n := New(Config{Name: name, GossipAddress: "127.0.0.82:29591", PeerAddress: "127.0.0.82:29590", Records: records})
+		n := New(Config{Name: name, GossipAddress: testHost(82) + ":29591", PeerAddress: testHost(82) + ":29590", Records: records})
 		require.NoError(t, n.startGossip())
 		_, err := n.restoreRecord(t.Context())
 		require.NoError(t, err)
--- a/mesh/departures_test.go
+++ b/mesh/departures_test.go
@@ -23,7 +23,7 @@
 // report of it, because the departures of many other targets have displaced the one
 // that its earlier process acknowledged.
 func TestDeparturesOfOtherTargetsDoNotDisplaceOwn(t *testing.T) {
-	n := New(Config{Name: "a", GossipAddress: "127.0.0.77:29481", PeerAddress: "127.0.0.77:29480"})
+	n := New(Config{Name: "a", GossipAddress: testHost(77) + ":29481", PeerAddress: testHost(77) + ":29480"})
 	require.NoError(t, n.startGossip())
 	defer n.gossip.Close()
 	defer n.gate.Close()
@@ -42,7 +42,7 @@
 // node did not know the start time of the target yet, and takes a late report for that
 // of a new process.
 func TestDepartureBeforeFirstReportHolds(t *testing.T) {
-	n := New(Config{Name: "a", Service: "s", GossipAddress: "127.0.0.77:29481", PeerAddress: "127.0.0.77:29480"})
+	n := New(Config{Name: "a", Service: "s", GossipAddress: testHost(77) + ":29481", PeerAddress: testHost(77) + ":29480"})
 	require.NoError(t, n.startGossip())
 	defer n.gossip.Close()
 	defer n.gate.Close()
--- a/mesh/departures_wait_test.go
+++ b/mesh/departures_wait_test.go
@@ -26,7 +26,7 @@
 // of a node that has given up the first one since the store was away.
 func TestWaitForDeparturesEndsOnce(t *testing.T) {
 	records := &slowRecords{memoryRecords: memoryRecords{timeline: 2}, until: time.Now().Add(departuresTimeout + 200*time.Millisecond)}
-	n := New(Config{Name: "a", GossipAddress: "127.0.0.79:29573", PeerAddress: "127.0.0.79:29572", Records: records})
+	n := New(Config{Name: "a", GossipAddress: testHost(79) + ":29573", PeerAddress: testHost(79) + ":29572", Records: records})
 	require.NoError(t, n.startGossip())
 	defer n.gossip.Close()
 	defer n.gate.Close()
--- a/mesh/drain_test.go
+++ b/mesh/drain_test.go
@@ -27,7 +27,7 @@
 // at the target's address unless the test does.
 func startDrainTestNode(t *testing.T, targetAddress string) *Node {
 	n := New(Config{
-		Name: "a", Service: "s", TargetAddress: targetAddress, CallerAddress: "127.0.0.78:29480", PeerAddress: "127.0.0.78:29481", GossipAddress: "127.0.0.78:29482",
+		Name: "a", Service: "s", TargetAddress: targetAddress, CallerAddress: testHost(78) + ":29480", PeerAddress: testHost(78) + ":29481", GossipAddress: testHost(78) + ":29482",
 		Headers:        httpconn.HeaderNames{RequestID: "X-Id", TimeoutMS: "X-Timeout", Seal: "X-Seal", NotRun: "X-Not-Run", TargetLoad: "X-Load", TargetID: "X-Target", ExpectedTarget: "X-Expected", CallerService: "X-Caller"},
 		ReportInterval: time.Hour, GracePeriod: drainTestGrace,
 	})
@@ -45,7 +45,7 @@
 // Guards against a target that is given a waiting call after its node has closed the
 // listener for sub-calls: between two calls it may be idle.
 func TestDrainKeepsListeningWhileCallsWait(t *testing.T) {
-	n := startDrainTestNode(t, "127.0.0.78:1")
+	n := startDrainTestNode(t, testHost(78)+":1")
 	// Holds the only slot without a request at the target.
 	id, failure := n.gate.Acquire(t.Context(), gate.Request{Deadline: time.Now().Add(drainTestGrace)})
 	require.Nil(t, failure)
--- a/mesh/fetch_config_test.go
+++ b/mesh/fetch_config_test.go
@@ -10,7 +10,8 @@
 
 // startMeshNodes starts nodes without targets that know each other.
 func startMeshNodes(t *testing.T, count int) []*Node {
-	const host, firstPort = "127.0.0.79", 29600
+	const firstPort = 29600
+	host := testHost(79)
 	var nodes []*Node
 	for i := range count {
 		at := func(offset int) string { return fmt.Sprintf("%s:%d", host, firstPort+3*i+offset) }
--- a/mesh/late_departure_test.go
+++ b/mesh/late_departure_test.go
@@ -14,7 +14,7 @@
 // the record and send work to the departed target after a late report.
 func TestDepartureToldLateIsSaved(t *testing.T) {
 	records := &memoryRecords{timeline: 2}
-	n := New(Config{Name: "a", GossipAddress: "127.0.0.79:29571", PeerAddress: "127.0.0.79:29570", Records: records})
+	n := New(Config{Name: "a", GossipAddress: testHost(79) + ":29571", PeerAddress: testHost(79) + ":29570", Records: records})
 	require.NoError(t, n.startGossip())
 	t.Cleanup(func() {
 		n.gossip.Close()
--- a/mesh/lost_peers_test.go
+++ b/mesh/lost_peers_test.go
@@ -14,7 +14,7 @@
 // Guards against the end of a target that nobody reports, because the node beside it
 // has ended as well.
 func TestCallsOfEndedPeerBecomeSuspect(t *testing.T) {
-	n := startGossipOnly(t, "127.0.0.81")
+	n := startGossipOnly(t, testHost(81))
 	lost := func(peer string, f quarantine.Fingerprint) {
 		n.lostPeers.add(routing.TargetID(peer), &message.Call{Request: message.Request{ID: peer}, Fingerprint: f, KnownCrashes: n.crashes.Check(f).Crashes})
 	}
--- a/mesh/recovery_test.go
+++ b/mesh/recovery_test.go
@@ -54,7 +54,7 @@
 func TestRestartWritesRecordOnlyIfItChanged(t *testing.T) {
 	records := &memoryRecords{timeline: firstTimeline}
 	start := func(departures ...registration.Departure) bool {
-		n := New(Config{Name: "a", GossipAddress: "127.0.0.77:29471", PeerAddress: "127.0.0.77:29470", Records: records})
+		n := New(Config{Name: "a", GossipAddress: testHost(77) + ":29471", PeerAddress: testHost(77) + ":29470", Records: records})
 		require.NoError(t, n.startGossip())
 		defer n.gossip.Close()
 		defer n.gate.Close()
--- a/mesh/replaced_target_test.go
+++ b/mesh/replaced_target_test.go
@@ -79,7 +79,7 @@
 // address since, and against a request of a client that is taken for a sub-call of a
 // run at the earlier target, as it happens to have its deadline.
 func TestSubCallNamesServiceOfItsParent(t *testing.T) {
-	n := startDrainTestNode(t, "127.0.0.78:1")
+	n := startDrainTestNode(t, testHost(78)+":1")
 	require.NoError(t, n.ApplyConfig(twoServices(), "test"))
 	parent := drainTestCall(drainTestTimeout)
 	entry := n.inFlight.add(time.Now(), parent)
@@ -111,7 +111,7 @@
 // Guards against a reload of settings that still name the service of the earlier target:
 // the node goes back to it, and its target gets no work until it has reported again.
 func TestReloadKeepsReportedService(t *testing.T) {
-	n := startDrainTestNode(t, "127.0.0.78:1")
+	n := startDrainTestNode(t, testHost(78)+":1")
 	require.NoError(t, n.ApplyConfig(twoServices(), "test"))
 	require.NoError(t, n.ReportTarget(t.Context(), registration.Report{TargetID: "o", StartedAtMs: 2, Seq: 1, State: registration.Ready, Service: "other", Slots: 8}))
 	n.Reconfigure("s", RetryBudgetConfig{}, time.Minute)
--- a/mesh/store_timeline_test.go
+++ b/mesh/store_timeline_test.go
@@ -13,7 +13,7 @@
 
 // startStoreNode returns a node with running gossip that has not called the store.
 func startStoreNode(t *testing.T, records *memoryRecords) *Node {
-	n := New(Config{Name: "a", GossipAddress: "127.0.0.77:29471", PeerAddress: "127.0.0.77:29470", Records: records})
+	n := New(Config{Name: "a", GossipAddress: testHost(77) + ":29471", PeerAddress: testHost(77) + ":29470", Records: records})
 	require.NoError(t, n.startGossip())
 	t.Cleanup(func() {
 		n.gossip.Close()
--- a/mesh/target_notice_test.go
+++ b/mesh/target_notice_test.go
@@ -20,7 +20,7 @@
 // as much as its slots hold until it has seen an answer. What peers know holds only for
 // the same process of the target, and until the target answers itself.
 func TestStartedNodeAdoptsLimitFromCalls(t *testing.T) {
-	n := startDrainTestNode(t, "127.0.0.78:29489")
+	n := startDrainTestNode(t, testHost(78)+":29489")
 	inForce := func() float64 { _, capacity := n.gate.Demand(); return capacity }
 	report := n.target.report(time.Now())
 	call := func(target uint64, rate float64) {
@@ -72,7 +72,7 @@
 // a limit while others take more: its cutoff follows from what it gets, not from what
 // the service has to serve. If all are limited, their cutoffs hold.
 func TestCutoffOfLimitedTargetIsLeftOutWhileOthersTakeMore(t *testing.T) {
-	n := startDrainTestNode(t, "127.0.0.78:29489")
+	n := startDrainTestNode(t, testHost(78)+":29489")
 	report := n.target.report(time.Now())
 	limited := &message.TargetNotice{Target: 1, RatePerSecond: 2}
 	other := membership.Member{ID: uuid.UUID{7}, State: membership.Alive, Meta: membership.Meta{Service: "s", PeerAddr: netip.MustParseAddrPort("127.0.0.9:1"), TargetState: membership.Ready, Slots: 4}}
