Keep a target's limit when its node refuses a call

Cause: an entry node took a reply without a notice for the news that the target beside a peer has announced nothing. A node that has just been restarted refuses calls before it knows, so that the one process that could have told it of the limit forgot it.

Change: only a reply with an answer of the target ends what is known of its limit. Evidence: TestRefusalOfStartedNodeDoesNotEndLimitOfItsTarget fails before.

--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -118,7 +118,7 @@
 	if failure != nil {
 		return &message.Reply{Failure: failure}
 	}
-	n.peerNotices.observe(time.Now(), address, reply.Notice)
+	n.peerNotices.observe(time.Now(), address, reply)
 	return reply
 }
 
--- a/mesh/peer_notices.go
+++ b/mesh/peer_notices.go
@@ -27,12 +27,17 @@
 	at time.Time
 }
 
-// observe records the notice in a reply of the node beside the target.
-func (p *peerNotices) observe(now time.Time, peer string, notice *message.TargetNotice) {
+// observe records the notice in a reply of the node beside the target. Only a reply with an
+// answer of the target tells that it has announced nothing: a node that has just been
+// restarted refuses calls before it knows.
+func (p *peerNotices) observe(now time.Time, peer string, reply *message.Reply) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	notice := reply.Notice
 	if notice == nil {
-		delete(p.byPeer, peer)
+		if reply.Failure == nil {
+			delete(p.byPeer, peer)
+		}
 		return
 	}
 	if p.byPeer == nil || len(p.byPeer) >= maxPeerNotices {
--- a/mesh/target_notice_test.go
+++ b/mesh/target_notice_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/goldcrestsail/goldcrestsail/httpconn"
 	"github.com/goldcrestsail/goldcrestsail/membership"
+	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/message"
 	"github.com/goldcrestsail/goldcrestsail/pressure"
 	"github.com/goldcrestsail/goldcrestsail/registration"
@@ -84,8 +85,21 @@
 		defer n.chains.mu.Unlock()
 		return n.chains.table.Cutoffs(time.Now())["s"]
 	}
-	n.peerNotices.observe(time.Now(), "127.0.0.9:1", limited)
+	n.peerNotices.observe(time.Now(), "127.0.0.9:1", &message.Reply{Notice: limited})
 	require.Equal(t, pressure.AdmitAll, cutoff(), "the own target takes more")
 	n.observeNotice(time.Now(), report, httpconn.TargetNotice{Limited: true, RatePerSecond: 3})
 	require.Less(t, cutoff(), pressure.AdmitAll)
 }
+
+// Guards against an entry node that forgets the limit of a target since the node beside it
+// has been restarted and refuses a call before it knows: nobody tells the new process then.
+func TestRefusalOfStartedNodeDoesNotEndLimitOfItsTarget(t *testing.T) {
+	var p peerNotices
+	now := time.Now()
+	limited := &message.TargetNotice{TargetID: "t", StartedAtMs: 1, RatePerSecond: 3}
+	p.observe(now, "peer", &message.Reply{Notice: limited, Response: &message.Response{Status: 200}})
+	p.observe(now, "peer", &message.Reply{Failure: kind.New(kind.Starting, "")})
+	require.Equal(t, limited, p.get(now, "peer"))
+	p.observe(now, "peer", &message.Reply{Response: &message.Response{Status: 200}})
+	require.Nil(t, p.get(now, "peer"), "the target has answered without a limit")
+}
