--- a/mesh/target_notice_test.go
+++ b/mesh/target_notice_test.go
@@ -96,7 +96,7 @@
 func TestRefusalOfStartedNodeDoesNotEndLimitOfItsTarget(t *testing.T) {
 	var p peerNotices
 	now := time.Now()
-	limited := &message.TargetNotice{TargetID: "t", StartedAtMs: 1, RatePerSecond: 3}
+	limited := &message.TargetNotice{Target: 1, RatePerSecond: 3}
 	p.observe(now, "peer", &message.Reply{Notice: limited, Response: &message.Response{Status: 200}})
 	p.observe(now, "peer", &message.Reply{Failure: kind.New(kind.Starting, "")})
 	require.Equal(t, limited, p.get(now, "peer"))
