--- a/mesh/target_notice_test.go
+++ b/mesh/target_notice_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/goldcrestsail/goldcrestsail/httpconn"
-	"github.com/goldcrestsail/goldcrestsail/membership"
 	"github.com/goldcrestsail/goldcrestsail/kind"
+	"github.com/goldcrestsail/goldcrestsail/membership"
 	"github.com/goldcrestsail/goldcrestsail/message"
 	"github.com/goldcrestsail/goldcrestsail/pressure"
 	"github.com/goldcrestsail/goldcrestsail/registration"
