Fail a call whose body finds no room, not the connection of its peer

Cause: a frame was read as a whole, so that without memory for its body neither the number of the call was known nor the state of the string table.

Change: a frame above 64 KiB is read in parts. Other frames end it as before, and a head without room too.

Evidence: TestBodyWithoutRoomFailsItsOwnCallAlone fails before, request and response (the call beside it and the later one get peer-lost). TestAnnouncedFrameLengthAllocatesNothing holds unchanged.

--- a/peerlink/check_head.go
+++ b/peerlink/check_head.go
@@ -24,3 +24,11 @@
 	r.Response = nil
 	r.Failure = kind.New(kind.AnswerMismatched, "the head of the response that the peer has passed on is not valid")
 }
+
+// rejectDroppedBody replaces the response of a reply whose body found no room.
+func rejectDroppedBody(f frame) {
+	if f.noRoom && f.reply.Response != nil {
+		f.reply.Response = nil
+		f.reply.Failure = kind.New(kind.AnswerTooLarge, "no memory left for the response of the target").WithRun(kind.MayHaveRun)
+	}
+}
--- a/peerlink/client.go
+++ b/peerlink/client.go
@@ -305,6 +305,7 @@
 			f.reply, err = decodeReply(f, &s.received)
 			if err == nil {
 				rejectSpoiledHead(f.reply, f.memory)
+				rejectDroppedBody(f)
 			}
 			if err == nil && f.reply.Response != nil {
 				f.reply.Response.BodyMemory = f.memory
--- a/peerlink/frame.go
+++ b/peerlink/frame.go
@@ -38,6 +38,9 @@
 	lengthPrefixBytes = 4
 	// maxFrameBytes bounds a frame: the largest body and its header.
 	maxFrameBytes = 72 << 20
+	// maxWholeFrameBytes is the size up to which a frame is read at once. Nothing of it
+	// counts against the budget.
+	maxWholeFrameBytes = 64 << 10
 )
 
 // frame is the unit of transmission on a connection.
@@ -54,6 +57,8 @@
 	body []byte
 	// memory is the memory that body takes up in the process's budget.
 	memory *bytebudget.Reservation
+	// noRoom reports that the budget had no room for the body, which has been dropped.
+	noRoom bool
 }
 
 var errMalformedFrame = errors.New("malformed peer message")
@@ -69,13 +74,12 @@
 	if n < 1 || n > maxFrameBytes {
 		return frame{}, errMalformedFrame
 	}
-	data, memory, err := bytebudget.ReadBody(io.LimitReader(r, int64(n)), int64(n), maxFrameBytes, budget)
-	if err != nil {
-		return frame{}, err
+	if n > maxWholeFrameBytes {
+		return readLongFrame(&io.LimitedReader{R: r, N: int64(n)}, budget)
 	}
-	if len(data) < int(n) {
-		memory.Release()
-		return frame{}, io.ErrUnexpectedEOF
+	data := make([]byte, n)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return frame{}, err
 	}
 	kind, kindSize := binary.Uvarint(data)
 	if kindSize <= 0 {
@@ -91,7 +95,53 @@
 		return frame{}, errMalformedFrame
 	}
 	payloadLength := len(rest) - int(bodyLength)
-	return frame{kind: frameKind(kind), id: id, payload: rest[:payloadLength], body: rest[payloadLength:], memory: memory}, nil
+	return frame{kind: frameKind(kind), id: id, payload: rest[:payloadLength], body: rest[payloadLength:]}, nil
+}
+
+// readLongFrame reads a frame in parts, so that a body for which there is no room fails
+// its own call alone.
+func readLongFrame(r *io.LimitedReader, budget *bytebudget.Budget) (frame, error) {
+	var header [3]uint64
+	for i := range header {
+		v, err := binary.ReadUvarint(byteReader{r})
+		if err != nil {
+			return frame{}, err
+		}
+		header[i] = v
+	}
+	f := frame{kind: frameKind(header[0]), id: header[1]}
+	bodyLength := int64(header[2])
+	if bodyLength < 0 || bodyLength > r.N {
+		return frame{}, errMalformedFrame
+	}
+	payloadLength := r.N - bodyLength
+	payload, memory, err := bytebudget.ReadBody(io.LimitReader(r, payloadLength), payloadLength, maxFrameBytes, budget)
+	if err != nil {
+		return frame{}, err
+	}
+	// The payload is decoded before the next frame is read, and not kept.
+	memory.Release()
+	f.payload = payload
+	f.body, f.memory, err = bytebudget.ReadBody(r, bodyLength, maxFrameBytes, budget)
+	if errors.Is(err, bytebudget.ErrExhausted) && (f.kind == frameCall || f.kind == frameReply) {
+		f.noRoom = true
+		_, err = io.Copy(io.Discard, r)
+	}
+	if err == nil && r.N > 0 {
+		f.memory.Release()
+		err = io.ErrUnexpectedEOF
+	}
+	return f, err
+}
+
+// byteReader reads single bytes of a buffered reader.
+type byteReader struct{ r io.Reader }
+
+// ReadByte implements io.ByteReader.
+func (b byteReader) ReadByte() (byte, error) {
+	var one [1]byte
+	_, err := io.ReadFull(b.r, one[:])
+	return one[0], err
 }
 
 // appendPayload appends the encoded call or reply of f to b.
--- a/peerlink/server.go
+++ b/peerlink/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/goldcrestsail/goldcrestsail/internal/acceptloop"
 	"github.com/goldcrestsail/goldcrestsail/internal/bytebudget"
+	"github.com/goldcrestsail/goldcrestsail/kind"
 	"github.com/goldcrestsail/goldcrestsail/message"
 )
 
@@ -145,6 +146,10 @@
 			if err != nil {
 				return
 			}
+			if f.noRoom {
+				c.send(frame{kind: frameReply, id: f.id, reply: &message.Reply{Failure: kind.New(kind.Shed, "the node beside the target has no memory left for the body").WithRun(kind.NotRun)}})
+				continue
+			}
 			ctx, cancel := begin(f.id)
 			go func() {
 				reply := s.Handle(ctx, call)
