Reset connections in the soak where it says so

Cause: the soak's link closed the connections in an orderly way. After that a body without a length is complete: "this is a response message without a declared message body length, so the message body length is determined by the number of octets received prior to the server closing the connection" (RFC 9112, section 6.3, rule 8). The node was right, the fault was not the one that its name says.

The check of the soak is unchanged; what it sees now are resets. processtest closes in an orderly way as before.

--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -112,6 +112,24 @@
 	}
 }
 
+// ResetConnections resets all open connections, in both directions. After an orderly
+// close, a response without a length would be complete (RFC 9112, section 6.3).
+func (l *Link) ResetConnections() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.connections {
+		reset(c)
+	}
+}
+
+// reset closes a connection so that its peer sees a reset, also behind bytes in transit.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 // Close closes the listener and all connections.
 func (l *Link) Close() {
 	l.mu.Lock()
@@ -163,7 +181,7 @@
 // connection.
 func (l *Link) copy(to, from net.Conn, acceptedAtStalls int64, drops func(Impairment) bool) {
 	buffer := make([]byte, 32<<10)
-	lost := false
+	lost, orderly := false, false
 	for {
 		n, err := from.Read(buffer)
 		impairment := l.currentImpairment()
@@ -181,6 +199,7 @@
 			// A stalled connection does not forward the end of the stream either.
 			return
 		}
+		orderly = err == io.EOF
 		break
 	}
 	l.mu.Lock()
@@ -188,5 +207,10 @@
 	delete(l.connections, from)
 	delete(l.connections, to)
 	from.Close()
+	if !orderly {
+		// A reset is passed on as one.
+		reset(to)
+		return
+	}
 	to.Close()
 }
