Count a request of a split whose answer is too large as passed on

A request that has run with an answer that is not passed on (run state ran) counted as refused in goldcrestsail_split_requests_total and in the line about splits. Evidence: TestSplitCountsByPartVersionAndOutcome fails without it. What is done with requests is unchanged.

--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -84,7 +84,7 @@
 // passedOn reports whether a request that ended with a failure, or with none, has
 // reached a target or may have.
 func passedOn(failure *kind.Error) bool {
-	return failure == nil || failure.Run == kind.MayHaveRun || reachedTarget(failure)
+	return failure == nil || failure.Run != kind.NotRun || reachedTarget(failure)
 }
 
 func visitsOf(reply *message.Reply) []message.Visit {
--- a/mesh/split_counts_test.go
+++ b/mesh/split_counts_test.go
@@ -24,10 +24,11 @@
 	c.record(&split, "a", 2, passedOn(kind.New(kind.TargetRefused, "")))
 	c.record(&split, "b", 2, passedOn(kind.New(kind.ShedEarly, "").WithRun(kind.NotRun)))
 	c.record(&split, "b", 2, passedOn(kind.New(kind.AnswerTruncated, "").WithRun(kind.MayHaveRun)))
+	c.record(&split, "b", 2, passedOn(kind.New(kind.AnswerTooLarge, "")))
 	c.record(&single, "a", 2, true)
 	now := time.Now()
 	require.Equal(t, map[versionedPart]splitOutcome{
-		{splitPart{"r", "a"}, 1, 0.75}: {passedOn: 1}, {splitPart{"r", "a"}, 2, 0.75}: {passedOn: 1}, {splitPart{"r", "b"}, 2, 0.25}: {passedOn: 1, refused: 1},
+		{splitPart{"r", "a"}, 1, 0.75}: {passedOn: 1}, {splitPart{"r", "a"}, 2, 0.75}: {passedOn: 1}, {splitPart{"r", "b"}, 2, 0.25}: {passedOn: 2, refused: 1},
 	}, c.takeUnlogged(now))
 	c.record(&split, "a", 2, true)
 	require.Nil(t, c.takeUnlogged(now.Add(splitLogInterval-1)))
