--- a/review/standin3/backend.go
+++ b/review/standin3/backend.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,6 +29,8 @@
 	// its start for refuseFor.
 	refuseShare           float64
 	refuseFrom, refuseFor time.Duration
+	// crashes reports that requests for crashHost end the process that runs them.
+	crashes bool
 }
 
 // backend is the stand-in for the backend of a machine. Its processes follow one another.
@@ -41,9 +45,10 @@
 	started int
 }
 
-// backendProcess is one start of a backend. It keeps the ID of the one before.
+// backendProcess is one start of a backend.
 type backendProcess struct {
 	backend *backend
+	id      string
 	name    string
 	born    int64
 	server  *http.Server
@@ -75,7 +80,7 @@
 	}
 	b.mu.Lock()
 	b.started++
-	x := &backendProcess{backend: b, name: fmt.Sprintf("%s#%d", b.id, b.started), born: time.Now().UnixMilli(), ended: make(chan struct{})}
+	x := &backendProcess{backend: b, id: b.id, name: fmt.Sprintf("%s#%d", b.id, b.started), born: time.Now().UnixMilli(), ended: make(chan struct{})}
 	x.lateness = func() time.Duration { return 0 }
 	ready := "ready"
 	x.state.Store(&ready)
@@ -85,7 +90,7 @@
 	x.server = &http.Server{Handler: http.HandlerFunc(x.serve)}
 	b.process = x
 	b.mu.Unlock()
-	b.play.note("%s starts, id %s, born %d", x.name, b.id, x.born)
+	b.play.note("%s starts, id %s, born %d", x.name, x.id, x.born)
 	go func() { _ = x.server.Serve(listener) }()
 	go x.sendHeartbeats()
 	return nil
@@ -143,7 +148,7 @@
 // call sends a call about the backend to its node and returns when it was acknowledged,
 // zero if it was not.
 func (x *backendProcess) call(method, body, what string) time.Time {
-	return x.backend.put(method, x.backend.id, body, x.name+": "+what)
+	return x.backend.put(method, x.id, body, x.name+": "+what)
 }
 
 // put sends a call about the backend with an ID to the node of the machine and returns when
@@ -172,11 +177,15 @@
 }
 
 // leave sends the DELETE of a backend that leaves, repeatedly until it is acknowledged, and
-// returns when it was. No heartbeat follows.
+// returns when it was. No heartbeat follows. With BORN=0 the DELETE has no body.
 func (x *backendProcess) leave() time.Time {
 	x.silent.Store(true)
+	body := fmt.Sprintf(`{"born":%d}`, x.born)
+	if os.Getenv("BORN") == "0" {
+		body = ""
+	}
 	for range 4 {
-		if at := x.call(http.MethodDelete, fmt.Sprintf(`{"born":%d}`, x.born), "departure"); !at.IsZero() {
+		if at := x.call(http.MethodDelete, body, "departure"); !at.IsZero() {
 			return at
 		}
 	}
@@ -192,7 +201,7 @@
 
 func (x *backendProcess) serve(w http.ResponseWriter, r *http.Request) {
 	b, h := x.backend, w.Header()
-	h.Set("Instance-Id", b.id)
+	h.Set("Instance-Id", x.id)
 	if r.URL.Path == healthPath {
 		if x.silent.Load() || *x.state.Load() != "ready" {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -210,7 +219,7 @@
 		h.Set("Not-Executed", "1")
 		w.WriteHeader(status)
 	}
-	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != b.id {
+	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != x.id {
 		reject(http.StatusMisdirectedRequest)
 		return
 	}
@@ -224,8 +233,12 @@
 		b.play.endArrival(a, true)
 		return
 	}
+	work := b.config.work
+	if r.Host == crashHost {
+		work = crashRunTime
+	}
 	select {
-	case <-time.After(b.config.work):
+	case <-time.After(work):
 	case <-x.ended:
 		b.play.endArrival(a, true)
 		panic(http.ErrAbortHandler)
@@ -234,6 +247,24 @@
 		return
 	}
 	b.play.endArrival(a, false)
+	body := "done " + id
 	h.Set("Response-Seal", "seal-"+id)
-	_, _ = io.WriteString(w, "done "+id)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = io.WriteString(w, body)
+	if r.Host == crashHost && b.config.crashes {
+		_ = http.NewResponseController(w).Flush()
+		b.play.endProcess(a)
+		b.crash()
+		time.AfterFunc(crashDownTime, b.startAnew)
+	}
+}
+
+// startAnew starts a process with another ID.
+func (b *backend) startAnew() {
+	b.mu.Lock()
+	b.id = fmt.Sprintf("i-%s-%d", b.machine.name, b.started+1)
+	b.mu.Unlock()
+	if err := b.start(); err != nil {
+		b.play.note("the backend of %s does not start: %v", b.machine.name, err)
+	}
 }
--- a/review/standin3/client.go
+++ b/review/standin3/client.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -16,6 +17,8 @@
 	host     string
 	unsafe   bool
 	deadline time.Duration
+	// path is the path, one with the ID of the request if it is empty.
+	path string
 }
 
 var requestNumber atomic.Int64
@@ -30,7 +33,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.deadline)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+m.at(outboundPort)+"/"+q.id, strings.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+m.at(outboundPort)+cmp.Or(a.path, "/"+q.id), strings.NewReader(body))
 	if err != nil {
 		q.err = err.Error()
 		return *q
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -42,6 +42,7 @@
 	"leaving-of-restarted":   leavingOfRestarted,
 	"config-of-followers":    configOfFollowers,
 	"budget-of-isolated":     budgetOfIsolated,
+	"crash-after-answer":     crashAfterAnswer,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standin3/record.go
+++ b/review/standin3/record.go
@@ -46,9 +46,9 @@
 	caller string
 	at     time.Time
 	// rejected reports that it was not run, endedAt when its run ended; cut reports that
-	// the process ended before.
-	rejected, cut bool
-	endedAt       time.Time
+	// the process ended before, ended that it ended the process.
+	rejected, cut, ended bool
+	endedAt              time.Time
 }
 
 func newRecord(path string) (*record, error) {
@@ -109,6 +109,14 @@
 	r.noteLocked(a.endedAt, "ended %s at %s, cut %t", a.id, a.backend, cut)
 }
 
+// endProcess records that a run has ended its process.
+func (r *record) endProcess(a *arrival) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a.ended = true
+	r.noteLocked(time.Now(), "%s ends under %s", a.backend, a.id)
+}
+
 // snapshot returns copies of all requests by ID, and of all arrivals.
 func (r *record) snapshot() (map[string]request, []arrival) {
 	r.mu.Lock()
